--- a/src/bin/wooddale-drill/main.rs
+++ b/src/bin/copperspread-drill/main.rs
@@ -74,7 +74,7 @@
     match serve(io::BufReader::with_capacity(1 << 20, stdin), stdout) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("wooddale-drill: {what}");
+            eprintln!("copperspread-drill: {what}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/wooddale-drill/settings.rs
+++ b/src/bin/copperspread-drill/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a `provision` message.
+use copperspread::*;
 use serde::Deserialize;
-use wooddale::*;
 
 use crate::wire::micros;
 
--- a/src/bin/wooddale-drill/wire.rs
+++ b/src/bin/copperspread-drill/wire.rs
@@ -2,10 +2,10 @@
 use std::borrow::Cow;
 use std::io::{self, Write};
 
+use copperspread::*;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use wooddale::*;
 
 /// Any message from the simulator. One flat struct serves all kinds: fields that a kind lacks
 /// stay empty, unknown ones are skipped, and nothing is copied.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! wooddale makes the decisions of a dispatcher that pushes jobs to workers.
+//! copperspread makes the decisions of a dispatcher that pushes jobs to workers.
 //!
 //! For every job it estimates the finish time at each worker by the processor-sharing formula,
 //! sends the job to the lowest estimate and refuses it on arrival when that estimate exceeds the
@@ -6,7 +6,7 @@
 //! it hands in events with their time and carries out the actions it gets back.
 //!
 //! ```
-//! use wooddale::{
+//! use copperspread::{
 //!     Action, Class, Dispatcher, Event, Job, Outcome, RequestId, Roster, RosterKind, Settings,
 //!     WorkerEntry, WorkerId, WorkerState, AttemptOutcome,
 //! };
@@ -36,7 +36,7 @@
 //! };
 //! actions.clear();
 //! dispatcher.handle(201_000, Event::Outcome(outcome), &mut actions);
-//! # Ok::<(), wooddale::SettingsError>(())
+//! # Ok::<(), copperspread::SettingsError>(())
 //! ```
 mod decide;
 mod interface;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The four rules, singly and as invariants over seeded random events.
 mod common;
 use common::*;
+use copperspread::*;
 use std::collections::HashMap;
-use wooddale::*;
 
 const KEYED_ALL: Effect = Effect::Keyed { scope: KeyScope::All, window: 5 * SECOND };
 const KEYED_CELL: Effect = Effect::Keyed { scope: KeyScope::Cell, window: 5 * SECOND };
