--- a/src/bin/copperspread-drill/main.rs
+++ b/src/bin/copperspread-drill/main.rs
@@ -1,6 +1,5 @@
 //! The adapter between the decision module and the simulator's wire. It decides nothing: it reads
 //! events, hands each to its instance's dispatcher and writes the actions back.
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, BufWriter, Write};
@@ -39,7 +38,7 @@
             ("batch", None) => {
                 let turn = line.turn.ok_or_else(|| place("batch without turn".into()))?;
                 let now = line.ts_s.ok_or_else(|| place("batch without ts_s".into()))?;
-                open = Some((turn, wire::micros(now)));
+                open = Some((turn, copperspread::json::micros(now)));
             }
             ("batch", Some(_)) => return Err(place("a batch inside a batch".into())),
             (_, None) => return Err(place(format!("{} outside a batch", line.kind))),
--- a/src/bin/copperspread-drill/wire.rs
+++ b/src/bin/copperspread-drill/wire.rs
@@ -2,6 +2,7 @@
 use std::borrow::Cow;
 use std::io::{self, Write};
 
+use copperspread::json::{self, micros};
 use copperspread::*;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
@@ -85,11 +86,6 @@
     actions: Vec<Action>,
 }
 
-/// Whole microseconds of the wire's seconds; negative ones are 0.
-pub fn micros(seconds: f64) -> Micros {
-    (seconds * SECOND as f64).round() as Micros
-}
-
 fn need<T>(value: Option<T>, line: &Line<'_>, field: &str) -> Result<T, Failure> {
     value.ok_or_else(|| Failure::Bad(format!("{} without {field}", line.kind)))
 }
@@ -142,7 +138,10 @@
     match &*line.kind {
         "provision" => {
             let text = need(line.params, line, "params")?;
-            let settings = crate::settings::parse(text.get()).map_err(Failure::Bad)?;
+            let settings = json::parse(text.get())
+                .and_then(|params| copperspread::settings::read(&params))
+                .map_err(|e| Failure::Bad(format!("provision: params: {e}")))?
+                .decisions;
             match Dispatcher::new(settings, need(line.prng, line, "prng")?) {
                 Ok(dispatcher) => {
                     let instance = Instance {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,8 @@
 //! ```
 mod decide;
 mod interface;
+pub mod json;
+pub mod settings;
 
 pub use decide::Dispatcher;
 pub use interface::*;
