--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 mod decide;
 mod interface;
 pub mod json;
+pub mod net;
 pub mod settings;
 
 pub use decide::Dispatcher;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,83 @@
-fn main() {}
+//! One real scheduler: starts, serves until SIGTERM, answers what it has taken and ends.
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use copperspread::net::clock::{Clock, from_now};
+use copperspread::net::config::{self, Config};
+use copperspread::net::decisions::Decisions;
+use copperspread::net::edge::{Edge, Ending};
+use copperspread::net::real_server::RealServers;
+use copperspread::net::service_entry::{self, ServiceEntries};
+use copperspread::net::{Node, invariant};
+use copperspread::{Micros, SECOND};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, sleep_until};
+
+/// The longest time that jobs get after SIGTERM, with half a second to the kill that follows at the
+/// soonest 0.7 s later.
+const ANSWERED_BY: Micros = 3 * SECOND + 200_000;
+/// New edge connections keep coming for some tenths of a second after SIGTERM.
+const LATECOMERS: Micros = SECOND;
+/// How often the end looks whether all is answered.
+const LOOK: Micros = 20_000;
+/// Time for the last answers to be written.
+const LAST_WORDS: Micros = 100_000;
+
+async fn serve(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let clock = Clock::start();
+    let longest = config.given.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let entries = Arc::new(ServiceEntries::new(&config.given.node));
+    let decisions = Decisions::new(config.given.decisions, config.seed, clock).map_err(|e| e.to_string())?;
+    let known = service_entry::remember(config.known.as_ref(), &entries, &decisions);
+    let node = Arc::new(Node {
+        clock,
+        decisions: Arc::clone(&decisions),
+        real_servers: RealServers::new(&config.given.node, Arc::clone(&entries)),
+        entries: Arc::clone(&entries),
+        settings: config.given.node,
+        ending: Ending::default(),
+    });
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let edge = Edge::new(Arc::clone(&node), config.sockets);
+    tokio::spawn(service_entry::follow(config.discovery, known, entries, decisions));
+    tokio::spawn(Arc::clone(&edge).accept(listener));
+    eprintln!("copperspread: {} serves on {}", config.name, config.listen);
+
+    term.recv().await;
+    let by = from_now(longest.min(ANSWERED_BY));
+    let latecomers = from_now(LATECOMERS);
+    node.ending.begin(by);
+    eprintln!("copperspread: ending, {} flows to answer", node.decisions.flows());
+    // Connections and call-backs are taken until the last.
+    while Instant::now() < latecomers || (edge.busy() > 0 && Instant::now() < by) {
+        sleep_until(from_now(LOOK)).await;
+    }
+    sleep_until(from_now(LAST_WORDS)).await;
+    for (what, count) in invariant::counts() {
+        eprintln!("copperspread: invariant broken {count} times: {what}");
+    }
+    eprintln!("copperspread: ended, {} requests left", edge.busy());
+    Ok(())
+}
+
+fn start() -> Result<(), String> {
+    let path = std::env::var_os("EDGE_CONFIG").ok_or("EDGE_CONFIG names no configuration")?;
+    let content = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let config = config::read(&content).map_err(|e| format!("{}: {e}", path.display()))?;
+    // One core: one thread does all the work.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve(config))
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("copperspread: {}", why.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/decisions.rs
@@ -0,0 +1,153 @@
+//! Holds the dispatcher, alone: hands it events, keeps its timers and brings its actions to the
+//! flows' mailboxes.
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::sync::{Notify, mpsc};
+use tokio::time::sleep_until;
+
+use crate::interface::*;
+use crate::invariant;
+use crate::net::clock::{Clock, from_now};
+use crate::net::real_server::News;
+use crate::{Dispatcher, Settings, SettingsError};
+
+/// What reaches a flow from outside its task.
+#[derive(Debug)]
+pub enum Mail {
+    /// The module: send the next scheduling to this real server.
+    Send(WorkerId),
+    /// The module: the final answer is a refusal.
+    Refuse,
+    /// The module: the final answer is a failure.
+    Fail,
+    /// The module: stop waiting for a scheduling.
+    Cancel(u32),
+    /// A call-back of a real server.
+    News(WorkerId, News),
+    /// The edge: the client has gone.
+    Gone,
+}
+
+/// The sending end of a flow's mailbox.
+pub type Mailbox = mpsc::UnboundedSender<Mail>;
+
+struct Inner {
+    dispatcher: Dispatcher,
+    flows: HashMap<RequestId, Mailbox>,
+    actions: Vec<Action>,
+}
+
+/// The dispatcher and the way from it to the flows. Its lock is never held over an await.
+pub struct Decisions {
+    clock: Clock,
+    on_request: bool,
+    inner: Mutex<Inner>,
+    subscribe: Notify,
+}
+
+impl Decisions {
+    /// Makes the dispatcher.
+    pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Arc<Decisions>, SettingsError> {
+        let on_request = settings.discovery == Discovery::OnRequest;
+        let dispatcher = Dispatcher::new(settings, seed)?;
+        let inner = Inner { dispatcher, flows: HashMap::new(), actions: Vec::new() };
+        Ok(Arc::new(Decisions { clock, on_request, inner: Mutex::new(inner), subscribe: Notify::new() }))
+    }
+
+    /// Hands over one event; what comes of it is in the mailboxes, in order, when this returns.
+    fn tell(self: &Arc<Self>, event: Event<'_>) {
+        self.with(|inner, now, actions| inner.dispatcher.handle(now, event, actions));
+    }
+
+    fn with(self: &Arc<Self>, event: impl FnOnce(&mut Inner, Micros, &mut Vec<Action>)) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut actions = std::mem::take(&mut inner.actions);
+        event(&mut inner, self.clock.now(), &mut actions);
+        for action in actions.drain(..) {
+            let (request, mail) = match action {
+                Action::Send { request, worker } => (request, Mail::Send(worker)),
+                Action::Refuse { request } => (request, Mail::Refuse),
+                Action::Fail { request } => (request, Mail::Fail),
+                Action::Cancel { request, attempt } => (request, Mail::Cancel(attempt)),
+                Action::Wake { after, timer } => {
+                    let decisions = Arc::clone(self);
+                    let at = from_now(after);
+                    tokio::spawn(async move {
+                        sleep_until(at).await;
+                        decisions.tell(Event::Timer(timer));
+                    });
+                    continue;
+                }
+                Action::Subscribe => {
+                    self.subscribe.notify_one();
+                    continue;
+                }
+            };
+            let delivered = inner.flows.get(&request).is_some_and(|flow| flow.send(mail).is_ok());
+            invariant!(delivered, "an action finds its flow");
+        }
+        inner.actions = actions;
+    }
+
+    /// A flow begins; false if another one with its id has not ended.
+    pub fn job(self: &Arc<Self>, job: Job, mailbox: Mailbox) -> bool {
+        let mut fresh = false;
+        self.with(|inner, now, actions| {
+            // Guards against an id that comes twice: the module would not answer the second.
+            if let std::collections::hash_map::Entry::Vacant(place) = inner.flows.entry(job.request) {
+                place.insert(mailbox);
+                fresh = true;
+                inner.dispatcher.handle(now, Event::Job(job), actions);
+            }
+        });
+        fresh
+    }
+
+    /// A scheduling ended.
+    pub fn outcome(self: &Arc<Self>, outcome: AttemptOutcome) {
+        self.tell(Event::Outcome(outcome));
+    }
+
+    /// News of a scheduling that is still out.
+    pub fn progress(self: &Arc<Self>, request: RequestId, attempt: u32, progress: Progress) {
+        self.tell(Event::Progress { request, attempt, progress });
+    }
+
+    /// A flow's client has gone.
+    pub fn gone(self: &Arc<Self>, request: RequestId) {
+        self.tell(Event::Gone(request));
+    }
+
+    /// News from discovery.
+    pub fn roster(self: &Arc<Self>, kind: RosterKind, version: u64, entries: &[WorkerEntry]) {
+        self.tell(Event::Roster(Roster { kind, version, entries }));
+    }
+
+    /// Whether the roster comes only after a subscription.
+    pub fn on_request(&self) -> bool {
+        self.on_request
+    }
+
+    /// Waits until the module asks for a subscription.
+    pub async fn subscription(&self) {
+        self.subscribe.notified().await;
+    }
+
+    /// Brings a call-back to its flow; false if there is none any more.
+    pub fn news(&self, request: RequestId, worker: WorkerId, news: News) -> bool {
+        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.flows.get(&request).is_some_and(|flow| flow.send(Mail::News(worker, news)).is_ok())
+    }
+
+    /// A flow has ended with all its schedulings.
+    pub fn ended(&self, request: RequestId) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.flows.remove(&request);
+    }
+
+    /// How many flows have not ended.
+    pub fn flows(&self) -> usize {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).flows.len()
+    }
+}
--- /dev/null
+++ b/src/net/real_server.rs
@@ -0,0 +1,234 @@
+//! The way to the real servers: handing over and giving up schedulings, their call-backs and what
+//! each answer means.
+use std::error::Error as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::http::uri::{Authority, PathAndQuery, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper_util::client::legacy::{Client, Error, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tinyjson::JsonValue;
+use tokio::time::{Instant, timeout_at};
+
+use crate::interface::*;
+use crate::json::{self, field, need, number, text};
+use crate::net::clock::from_now;
+use crate::net::service_entry::ServiceEntries;
+use crate::settings::NodeSettings;
+
+/// Longest body of an answer that is read.
+const LONGEST_BODY: usize = 64 * 1024;
+/// Share of the real servers' keep-alive for which idle connections are kept here.
+const KEEP_SHARE: f64 = 0.9;
+/// ... and at least this much less, since a request may be on its way when they close.
+const KEEP_MARGIN: Micros = 300_000;
+/// Most idle connections kept to one real server.
+const IDLE_MOST: usize = 16;
+/// A word of giving up that has not been answered by then is let go.
+const GIVE_UP_WITHIN: Micros = 2 * SECOND;
+
+/// What a real server tells of a scheduling by a call-back.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The job runs.
+    Progress(Progress),
+    /// It ended; a result is there where it was served.
+    Ended(Outcome, Option<Bytes>, Option<Report>),
+}
+
+/// A call-back: whose scheduling, at which real server, and what became of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallBack {
+    /// The flow.
+    pub request: RequestId,
+    /// The real server's name.
+    pub from: String,
+    /// The news.
+    pub news: News,
+}
+
+/// The id of a flow in the clients' form: 16 hex digits.
+pub fn request_id(text: &str) -> Option<RequestId> {
+    let hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| hex).map(RequestId)
+}
+
+/// Reads a call-back.
+pub fn read_call_back(body: &[u8]) -> Result<CallBack, String> {
+    let value = json::parse_bytes(body)?;
+    let id = need(text(&value, "id"), "id")?;
+    let ended = |outcome, result| News::Ended(outcome, result, field(&value, "load").and_then(load_object));
+    let news = match need(text(&value, "state"), "state")? {
+        "started" => News::Progress(Progress::Started),
+        "running" => News::Progress(Progress::Done(need(number(&value, "share"), "share")?)),
+        "done" => {
+            let result = need(text(&value, "result"), "result")?;
+            ended(Outcome::Served, Some(Bytes::copy_from_slice(result.as_bytes())))
+        }
+        "failed" => ended(Outcome::Error, None),
+        "returned" => ended(Outcome::Full, None),
+        "lost" => ended(Outcome::Reset, None),
+        other => return Err(format!("unknown state {other:?}")),
+    };
+    Ok(CallBack {
+        request: request_id(id).ok_or_else(|| format!("id {id:?} is not 16 hex digits"))?,
+        from: need(text(&value, "from"), "from")?.to_owned(),
+        news,
+    })
+}
+
+fn set(report: &mut Report, name: &str, value: f64) {
+    match name {
+        "queue" | "waiting" => report.queue = Some(value),
+        "inflight" | "active" => report.inflight = Some(value),
+        "util" | "cpu" => report.util = Some(value),
+        "qps" | "rps" => report.qps = Some(value),
+        "x0" => report.free_slots = Some(value),
+        _ => {}
+    }
+}
+
+/// A load report as an object; a garbled one counts as none.
+fn load_object(load: &JsonValue) -> Option<Report> {
+    let fields: &std::collections::HashMap<String, JsonValue> = load.get()?;
+    let mut report = Report::default();
+    for (name, value) in fields {
+        let value: &f64 = value.get()?;
+        if !value.is_finite() {
+            return None;
+        }
+        set(&mut report, name, *value);
+    }
+    Some(report)
+}
+
+/// A load report as a header's value; a garbled one counts as none.
+pub fn load_header(value: &str) -> Option<Report> {
+    let pairs = value.trim().strip_prefix("TEXT")?;
+    let mut report = Report::default();
+    for pair in pairs.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value: f64 = value.trim().parse().ok().filter(|value: &f64| value.is_finite())?;
+        set(&mut report, name.trim(), value);
+    }
+    Some(report)
+}
+
+/// What an answer to a handed-over scheduling means; `None` is that the real server has taken it.
+pub fn read_answer(status: StatusCode, headers: &HeaderMap) -> Option<Outcome> {
+    let not_run = headers.get("x-not-processed").is_some_and(|value| value == "1");
+    match status {
+        StatusCode::ACCEPTED => None,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Some(Outcome::Full),
+        // Any other word leaves open whether it ran.
+        _ => Some(Outcome::Error),
+    }
+}
+
+/// What a broken hand-over means. It never ran only where the protocol proves it: no connection
+/// came up, or the client's library gave the request back unwritten. In doubt it is a reset.
+fn broken(error: &Error) -> Outcome {
+    let unwritten = error
+        .source()
+        .and_then(|source| source.downcast_ref::<hyper::Error>())
+        .is_some_and(hyper::Error::is_canceled);
+    if error.is_connect() || unwritten { Outcome::ConnectFailed } else { Outcome::Reset }
+}
+
+/// What of a client's request passes on to a real server.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The request's id, as the client wrote it.
+    pub id: String,
+    /// Path and query.
+    pub path: PathAndQuery,
+    /// The headers that pass on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The client's side of all real servers.
+pub struct RealServers {
+    client: Client<HttpConnector, Full<Bytes>>,
+    entries: Arc<ServiceEntries>,
+}
+
+impl RealServers {
+    /// Makes the client within the settings.
+    pub fn new(settings: &NodeSettings, entries: Arc<ServiceEntries>) -> RealServers {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_micros(settings.connect_within)));
+        let keep = (settings.keepalive as f64 * KEEP_SHARE) as Micros;
+        let keep = keep.min(settings.keepalive.saturating_sub(KEEP_MARGIN));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            // Guards against a request written to a connection that the real server is closing.
+            .pool_idle_timeout(Duration::from_micros(keep))
+            .pool_max_idle_per_host(IDLE_MOST)
+            // Guards against a second copy that nobody decided: the library never resends.
+            .retry_canceled_requests(false)
+            .build(connector);
+        RealServers { client, entries }
+    }
+
+    /// Hands a scheduling over; returns once the real server has taken it, or how it ended.
+    pub async fn hand_over(
+        &self,
+        worker: WorkerId,
+        order: &Order,
+        deadline: Instant,
+    ) -> Result<(), (Outcome, Option<Report>)> {
+        // Guards against new work for a real server of which discovery told, after the module
+        // chose it, that it drains or is gone.
+        let Some(address) = self.entries.serving(worker) else { return Err((Outcome::Moot, None)) };
+        let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+        let (Some(mut request), true) =
+            (request(Method::POST, address, order.path.clone(), order.body.clone()), left > 0)
+        else {
+            return Err((Outcome::Moot, None));
+        };
+        *request.headers_mut() = order.headers.clone();
+        if let Ok(value) = format!("{left}m").parse() {
+            request.headers_mut().insert("x-timeout", value);
+        }
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) => return Err((broken(&error), None)),
+        };
+        let (head, body) = response.into_parts();
+        let report = head.headers.get("x-server-load").and_then(|value| value.to_str().ok());
+        let report = report.and_then(load_header);
+        // Read to the end, so that the connection can carry the next request.
+        let _ = Limited::new(body, LONGEST_BODY).collect().await;
+        read_answer(head.status, &head.headers).map_or(Ok(()), |outcome| Err((outcome, report)))
+    }
+
+    /// Tells a real server that a scheduling it has taken is no longer waited for.
+    pub fn give_up(&self, worker: WorkerId, order: &Order) {
+        let Some(address) = self.entries.address(worker) else { return };
+        let Ok(path) = format!("/jobs/{}", order.id).parse() else { return };
+        let Some(request) = request(Method::DELETE, address, path, Bytes::new()) else { return };
+        let answer = self.client.request(request);
+        let by = from_now(GIVE_UP_WITHIN);
+        tokio::spawn(timeout_at(by, async move {
+            if let Ok(response) = answer.await {
+                let _ = Limited::new(response.into_body(), LONGEST_BODY).collect().await;
+            }
+        }));
+    }
+}
+
+fn request(
+    method: Method,
+    address: Authority,
+    path: PathAndQuery,
+    body: Bytes,
+) -> Option<Request<Full<Bytes>>> {
+    let uri = Uri::builder().scheme("http").authority(address).path_and_query(path).build().ok()?;
+    Request::builder().method(method).uri(uri).body(Full::new(body)).ok()
+}
