Let a refusal say when to come back, by how much the queue must shrink

Wrong: net/edge answered a constant, as Action::Refuse held no time (src/interface.rs). Now the gate's excess over the time left, one usual job where work is shed, or one round where no worker is ready. The adapter says it only where the settings let clients hear it. Test: gate.rs, a_refusal_tells_by_how_much_the_queue_must_shrink_first.

--- a/src/bin/copperspread-drill/wire.rs
+++ b/src/bin/copperspread-drill/wire.rs
@@ -81,6 +81,8 @@
 /// One dispatcher with its own id table.
 pub struct Instance {
     dispatcher: Dispatcher,
+    /// Clients are told when to come back.
+    tells_when: bool,
     executors: FxHashMap<Box<str>, WorkerId>,
     names: Vec<Box<str>>,
     actions: Vec<Action>,
@@ -138,14 +140,14 @@
     match &*line.kind {
         "provision" => {
             let text = need(line.params, line, "params")?;
-            let settings = json::parse(text.get())
+            let given = json::parse(text.get())
                 .and_then(|params| copperspread::settings::read(&params))
-                .map_err(|e| Failure::Bad(format!("provision: params: {e}")))?
-                .decisions;
-            match Dispatcher::new(settings, need(line.prng, line, "prng")?) {
+                .map_err(|e| Failure::Bad(format!("provision: params: {e}")))?;
+            match Dispatcher::new(given.decisions, need(line.prng, line, "prng")?) {
                 Ok(dispatcher) => {
                     let instance = Instance {
                         dispatcher,
+                        tells_when: given.node.tells_when,
                         executors: FxHashMap::default(),
                         names: Vec::new(),
                         actions: Vec::new(),
@@ -170,7 +172,7 @@
     instance.actions.clear();
     instance.take(now, line)?;
     for action in &instance.actions {
-        write(out, node, &instance.names, action).map_err(writing)?;
+        write(out, node, instance, action).map_err(writing)?;
     }
     Ok(())
 }
@@ -288,15 +290,19 @@
     writeln!(out, "{line}")
 }
 
-fn write(out: &mut impl Write, node: &str, names: &[Box<str>], action: &Action) -> io::Result<()> {
+fn write(out: &mut impl Write, node: &str, instance: &Instance, action: &Action) -> io::Result<()> {
     match *action {
         Action::Send { request, worker } => {
-            let name = &names[worker.0 as usize];
+            let name = &instance.names[worker.0 as usize];
             let id = request.0;
             writeln!(out, r#"{{"kind":"pass_on","node_id":"{node}","req":"{id:016x}","executor":"{name}"}}"#)
         }
-        Action::Refuse { request } => {
-            writeln!(out, r#"{{"kind":"busy","node_id":"{node}","req":"{:016x}"}}"#, request.0)
+        Action::Refuse { request, retry_after } => {
+            write!(out, r#"{{"kind":"busy","node_id":"{node}","req":"{:016x}""#, request.0)?;
+            if instance.tells_when {
+                write!(out, r#","retry_after_s":{}"#, seconds(retry_after))?;
+            }
+            writeln!(out, "}}")
         }
         Action::Fail { request } => {
             writeln!(out, r#"{{"kind":"abort","node_id":"{node}","req":"{:016x}"}}"#, request.0)
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -638,8 +638,9 @@
     }
 
     /// The ready worker with the lowest estimate that keeps to the rules, if the job passes its
-    /// gate; ties at random.
-    fn pick(&mut self, now: Micros, job: &Request) -> Option<usize> {
+    /// gate; ties at random. Otherwise, when to come back: the jobs there must first shrink by as
+    /// much as the estimate exceeds the time left; with no worker at all, a round later.
+    fn pick(&mut self, now: Micros, job: &Request) -> Result<usize, Micros> {
         let class = &self.settings.classes[job.class];
         let bound = class.worker_kind;
         let group = match (class.effect, job.may_have_run()) {
@@ -693,8 +694,9 @@
                 best = Some((index, rank, estimate));
             }
         }
-        let (index, _, estimate) = best?;
-        (estimate <= self.time_left(now, &self.workers[index], job)).then_some(index)
+        let (index, _, estimate) = best.ok_or(SWEEP)?;
+        let excess = estimate - self.time_left(now, &self.workers[index], job);
+        if excess <= 0.0 { Ok(index) } else { Err(span(excess)) }
     }
 
     // ---- Cold workers ----------------------------------------------------------------------
@@ -739,9 +741,9 @@
 
     fn on_job(&mut self, now: Micros, job: Job, actions: &mut Vec<Action>) {
         let class = job.class as usize;
-        let refuse = Action::Refuse { request: job.request };
+        let refuse = |retry_after| Action::Refuse { request: job.request, retry_after };
         if class >= self.settings.classes.len() || job.time_left == 0 {
-            actions.push(refuse);
+            actions.push(refuse(SWEEP));
             return;
         }
         if self.requests.contains_key(&job.request) {
@@ -770,15 +772,16 @@
         self.mean_load += (request.work * request.slots - self.mean_load) * BUSY_GAIN;
         self.mean_slots += (request.slots - self.mean_slots) * BUSY_GAIN;
         if self.shed(now, &request, job.tenant) {
-            actions.push(refuse);
+            // Slots are scarce: about one usual job later some of them are free.
+            actions.push(refuse(span(self.job_time)));
             return;
         }
         match self.pick(now, &request) {
-            Some(index) => {
+            Ok(index) => {
                 self.send(now, job.request, &mut request, index, actions);
                 self.requests.insert(job.request, request);
             }
-            None => actions.push(refuse),
+            Err(retry_after) => actions.push(refuse(retry_after)),
         }
     }
 
@@ -859,8 +862,8 @@
         let waits = request.attempts.iter().filter(|a| a.out).all(|a| a.mark.is_none());
         if !request.finished && waits && self.copies >= 1.0 && self.may_copy(now, &request) {
             match self.pick(now, &request) {
-                None => {}
-                Some(index) => {
+                Err(_) => {}
+                Ok(index) => {
                     self.copies -= 1.0;
                     if self.settings.second_copies {
                         self.send(now, id, &mut request, index, actions);
@@ -993,16 +996,17 @@
 
     /// Another attempt through the same estimate and gate, or else the final answer.
     fn resend(&mut self, now: Micros, id: RequestId, request: &mut Request, actions: &mut Vec<Action>) {
-        if self.may_resend(now, request)
-            && let Some(index) = self.pick(now, request)
-        {
-            self.send(now, id, request, index, actions);
-            return;
+        let mut retry_after = span(self.job_time);
+        if self.may_resend(now, request) {
+            match self.pick(now, request) {
+                Ok(index) => return self.send(now, id, request, index, actions),
+                Err(after) => retry_after = after,
+            }
         }
         request.finished = true;
         self.cancel_others(id, request, actions);
         actions.push(if self.may_refuse(request) && now < request.deadline {
-            Action::Refuse { request: id }
+            Action::Refuse { request: id, retry_after }
         } else {
             Action::Fail { request: id }
         });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -368,6 +368,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// How long the client should stay away: sooner, it would be turned away once more.
+        retry_after: Micros,
     },
     /// Final answer: failed, nothing promised.
     Fail {
--- a/src/net/decisions.rs
+++ b/src/net/decisions.rs
@@ -17,8 +17,8 @@
 pub enum Mail {
     /// The module: send the next scheduling to this real server.
     Send(WorkerId),
-    /// The module: the final answer is a refusal.
-    Refuse,
+    /// The module: the final answer is a refusal, for the client to come back after this long.
+    Refuse(Micros),
     /// The module: the final answer is a failure.
     Fail,
     /// The module: stop waiting for a scheduling.
@@ -67,7 +67,7 @@
         for action in actions.drain(..) {
             let (request, mail) = match action {
                 Action::Send { request, worker } => (request, Mail::Send(worker)),
-                Action::Refuse { request } => (request, Mail::Refuse),
+                Action::Refuse { request, retry_after } => (request, Mail::Refuse(retry_after)),
                 Action::Fail { request } => (request, Mail::Fail),
                 Action::Cancel { request, attempt } => (request, Mail::Cancel(attempt)),
                 Action::Wake { after, timer } => {
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -329,9 +329,9 @@
 fn answer(node: &Node, answer: Answer) -> Response {
     match answer {
         Answer::Served(result) => result.into_response(),
-        Answer::Refused => {
-            let seconds = node.settings.max_retry_after as f64 / SECOND as f64;
-            (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, seconds.to_string())]).into_response()
+        Answer::Refused { retry_after } => {
+            let after = retry_after.min(node.settings.max_retry_after) as f64 / SECOND as f64;
+            (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, after.to_string())]).into_response()
         }
         Answer::Failed => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         Answer::Repeated => StatusCode::BAD_REQUEST.into_response(),
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -20,7 +20,10 @@
     /// A real server's result.
     Served(Bytes),
     /// Turned away by the module; harmless to try again.
-    Refused,
+    Refused {
+        /// After this long.
+        retry_after: Micros,
+    },
     /// Failed, with nothing promised.
     Failed,
     /// Another flow with this id has not ended.
@@ -120,7 +123,7 @@
                             hand_overs.push(async move { (number, hand_over.await) });
                         }
                     }
-                    Mail::Refuse => self.close(Answer::Refused),
+                    Mail::Refuse(retry_after) => self.close(Answer::Refused { retry_after }),
                     Mail::Fail => self.close(Answer::Failed),
                     Mail::Cancel(number) => self.give_up(number, Outcome::Cancelled),
                     Mail::News(worker, news) => self.hear(worker, news),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -29,6 +29,8 @@
     pub connect_within: Micros,
     /// Workers close a connection that has stood idle for this long.
     pub keepalive: Micros,
+    /// The simulator's clients are told when to come back.
+    pub tells_when: bool,
     /// The longest time for which clients heed a refusal's word to stay away.
     pub max_retry_after: Micros,
 }
@@ -88,6 +90,7 @@
         kinds: names(list(params, "kinds")?),
         connect_within: seconds(permissions, "connect_timeout_s")?.unwrap_or(micros(0.25)),
         keepalive: seconds(permissions, "keepalive_s")?.unwrap_or(micros(5.0)),
+        tells_when: flag(permissions, "retry_after")?.unwrap_or(false),
         max_retry_after: seconds(permissions, "max_retry_after_s")?.unwrap_or(micros(1.0)),
     };
     Ok(Given { decisions, node })
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -189,3 +189,21 @@
     let nobody = WorkerId(99);
     assert!(node.handle(Event::Probed { worker: nobody, outcome: Outcome::Served, report: None }).is_empty());
 }
+
+#[test]
+fn a_refusal_tells_by_how_much_the_queue_must_shrink_first() {
+    let mut node = Node::new(settings(Effect::Unsafe), &[entry(0)]);
+    let mut last = 0;
+    for request in 1.. {
+        assert!(request < 100, "the gate closes");
+        if let [Action::Refuse { retry_after, .. }] = *node.job(request, 0.5) {
+            last = retry_after;
+            break;
+        }
+    }
+    assert!(last > 0 && last < 10 * SECOND, "{last}");
+    // Nobody to send to: a round later the list may have changed.
+    let mut alone = Node::new(settings(Effect::Unsafe), &[]);
+    let refusal = Action::Refuse { request: RequestId(1), retry_after: SECOND };
+    assert_eq!(alone.job(1, 0.5), [refusal]);
+}
