Test the program over sockets, and its parsers with cuts and garbage

Seen: the network code had no tests. tests/scheduler.rs starts the program and plays clients, real servers and discovery; tests/parsers.rs feeds all readers from fixed seeds. Found by it: a body announced as too large was waited for and got 408 for 413; wrong was read_body in net/edge.rs, which only counted bytes that came. It now looks at the length first.

--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -219,6 +219,10 @@
 
 /// Reads a body within its bound and its deadline.
 async fn read_body(body: Body, by: Instant) -> Result<Bytes, StatusCode> {
+    // A length that is announced too large is not waited for.
+    if hyper::body::Body::size_hint(&body).lower() > LONGEST_BODY as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     match timeout_at(by, to_bytes(body, LONGEST_BODY)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) => {
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,82 @@
+//! What reads the network: random cuts of valid messages and random garbage, from fixed seeds.
+mod sockets;
+use copperspread::json;
+use copperspread::net::real_server::{load_header, read_call_back, request_id};
+use copperspread::net::{config, edge, service_entry};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const CALL_BACK: &str =
+    r#"{"id":"9b1f03aa5c7e2d41","from":"s-0","state":"done","result":"é\u00e9\n","load":{"x0":1}}"#;
+const HEADER: &str = "TEXT inflight=7, queue=2, util=0.61";
+
+fn fixed() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() }
+}
+
+fn valid() -> (String, String) {
+    let here = "127.0.0.1:80".parse().expect("an address");
+    let known = sockets::list(3, true, &[sockets::member("r0", here, "SERVING")]);
+    (sockets::config(here, here, &known), known)
+}
+
+/// All readers take anything without a panic.
+fn read_all(bytes: &[u8]) {
+    let _ = read_call_back(bytes);
+    let text = String::from_utf8_lossy(bytes);
+    let _ = config::read(&text);
+    let _ = json::parse(&text).map(|value| service_entry::read_list(&value));
+    let _ = (
+        load_header(&text),
+        edge::read_timeout(&text),
+        edge::attribute(&text, &["slots"]),
+        request_id(&text),
+    );
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn a_cut_message_is_no_message(at in any::<prop::sample::Index>()) {
+        let (config, list) = valid();
+        prop_assert!(read_call_back(&CALL_BACK.as_bytes()[..at.index(CALL_BACK.len())]).is_err());
+        prop_assert!(config::read(&config[..at.index(config.len())]).is_err());
+        prop_assert!(json::parse(&list[..at.index(list.len())]).is_err());
+        read_all(&HEADER.as_bytes()[..at.index(HEADER.len())]);
+    }
+
+    #[test]
+    fn a_message_with_one_byte_changed_does_no_harm(at in any::<prop::sample::Index>(), byte: u8) {
+        let (config, list) = valid();
+        for text in [CALL_BACK, HEADER, "480m", "slots=1,memory=2", &config, &list] {
+            let mut bytes = text.as_bytes().to_vec();
+            bytes[at.index(text.len())] = byte;
+            read_all(&bytes);
+        }
+    }
+
+    #[test]
+    fn garbage_does_no_harm(bytes: Vec<u8>, text in "[\\[{\":,0-9a-z}\\]]{0,80}") {
+        read_all(&bytes);
+        read_all(text.as_bytes());
+    }
+}
+
+#[test]
+fn valid_messages_are_read() {
+    let (config, list) = valid();
+    let config = config::read(&config).expect("a configuration");
+    let list = json::parse(&list).and_then(|value| service_entry::read_list(&value)).expect("a list");
+    assert_eq!(config.known.as_ref(), Some(&list));
+    assert!(read_call_back(CALL_BACK.as_bytes()).is_ok());
+    let report = load_header(HEADER).expect("a report");
+    assert_eq!((report.inflight, report.queue, report.util), (Some(7.0), Some(2.0), Some(0.61)));
+    assert_eq!(load_header("TEXT queue=2, util=?"), None, "a garbled report is dropped whole");
+    assert_eq!(edge::read_timeout("480m"), Some(480_000));
+    assert_eq!(edge::read_timeout("480u"), Some(480));
+    for bad in ["", "m", "480", "480s", "-4m", "1e9m", "NaNm", "é"] {
+        assert_eq!(edge::read_timeout(bad), None, "{bad}");
+    }
+    assert_eq!(edge::attribute("memory=0.3,slots=2", &["slots"]), Some(2.0));
+}
--- /dev/null
+++ b/tests/scheduler.rs
@@ -0,0 +1,262 @@
+//! The program over sockets: it is started, and clients, real servers and discovery are played.
+mod sockets;
+use sockets::*;
+
+const DONE: &str = r#""state":"done","result":"r\u00e9sult","load":{"x0":3.5,"waiting":0}"#;
+
+#[tokio::test]
+async fn a_job_passes_on_unchanged_and_its_result_comes_back() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 1, 9000).await;
+    let asked = server.asked().await;
+    assert_eq!(asked.message.first, "POST /once/k?q=1 HTTP/1.1");
+    assert_eq!(asked.message.body, "hi");
+    assert_eq!(asked.message.headers["idempotency-key"], "k7");
+    let timeout = &asked.message.headers["x-timeout"];
+    let millis: u64 = timeout.strip_suffix('m').and_then(|m| m.parse().ok()).expect("milliseconds");
+    assert!((8000..9000).contains(&millis), "time for the way is kept back: {timeout}");
+    let id = asked.accept();
+    assert_eq!(id, "0000000000000001");
+    assert_eq!(scheduler.call_back(&id, "r0", r#""state":"started""#).await, 204);
+    assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+    let answer = client.heard().await.expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "résult"));
+}
+
+// Guards against a call-back that overtakes the 202, comes again, or is another scheduling's.
+#[tokio::test]
+async fn call_backs_early_twice_or_foreign_make_one_answer() {
+    let (mut server, other) = (Party::new().await, Party::new().await);
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 2, 9000).await;
+    let asked = server.asked().await;
+    let id = asked.message.headers["x-request-id"].clone();
+    for foreign in ["r1", "r9"] {
+        assert_eq!(scheduler.call_back(&id, foreign, r#""state":"failed""#).await, 204);
+    }
+    assert_eq!(scheduler.call_back("00000000000000ff", "r0", DONE).await, 204);
+    assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    assert_eq!(scheduler.call_back(&id, "r0", r#""state":"failed""#).await, 204);
+    asked.accept();
+    // The connection carries the next job, and only one answer came.
+    client.job("once", 3, 9000).await;
+    let id = server.asked().await.accept();
+    scheduler.call_back(&id, "r0", r#""state":"failed""#).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 500);
+    drop(other);
+}
+
+// Guards against a handler that is dropped with its client: the flow lives on and gives up.
+#[tokio::test]
+async fn a_client_that_goes_has_its_scheduling_given_up() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    client.job("safe", 4, 9000).await;
+    let id = server.asked().await.accept();
+    scheduler.call_back(&id, "r0", r#""state":"started""#).await;
+    drop(client);
+    assert_eq!(server.asked().await.message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
+    assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+}
+
+// Guards against a second run of what must run once: a broken connection proves nothing, while a
+// refused one or a job handed back unstarted proves that it never ran.
+#[tokio::test]
+async fn an_unsafe_job_goes_on_only_where_it_never_ran() {
+    let (mut one, gone) = (Party::new().await, Party::new().await);
+    let dead = gone.address;
+    drop(gone);
+    let scheduler = Scheduler::start(&[one.address]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 5, 9000).await;
+    drop(one.asked().await);
+    assert_eq!(client.heard().await.expect("an answer").status(), 500);
+    // A 503 that proves nothing is not passed through, as the client could try again.
+    client.job("once", 6, 9000).await;
+    one.asked().await.answer("503 Service Unavailable", "", "");
+    assert_eq!(client.heard().await.expect("an answer").status(), 500);
+    // Handed back unstarted: there is no other real server, so the module refuses.
+    client.job("once", 7, 9000).await;
+    one.asked().await.answer("503 Service Unavailable", "X-Not-Processed: 1\r\nX-Server-Load: ??\r\n", "");
+    let answer = client.heard().await.expect("an answer");
+    assert_eq!(answer.status(), 503);
+    let after: f64 = answer.headers["retry-after"].parse().expect("seconds");
+    assert!((0.0..=2.0).contains(&after), "{after}");
+    assert!(one.idle(), "nothing came twice");
+    // Two that refuse connections and one that serves.
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let closed = listener.local_addr().expect("an address");
+    drop((listener, dead));
+    let scheduler = Scheduler::start(&[closed, one.address]).await;
+    let mut client = scheduler.client().await;
+    for id in 10..14 {
+        client.job("once", id, 9000).await;
+        let id = one.asked().await.accept();
+        scheduler.call_back(&id, "r1", DONE).await;
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn a_safe_job_goes_on_after_a_reset() {
+    let (mut one, mut two) = (Party::new().await, Party::new().await);
+    let scheduler = Scheduler::start(&[one.address, two.address]).await;
+    let mut client = scheduler.client().await;
+    client.job("safe", 20, 9000).await;
+    let (first, other, name) = tokio::select! {
+        asked = one.asked() => (asked, &mut two, "r1"),
+        asked = two.asked() => (asked, &mut one, "r0"),
+    };
+    let id = first.accept();
+    scheduler.call_back(&id, if name == "r1" { "r0" } else { "r1" }, r#""state":"lost""#).await;
+    let again = other.asked().await.accept();
+    assert_eq!(id, again);
+    scheduler.call_back(&id, name, DONE).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+}
+
+// Guards against a client that gives up before its answer came.
+#[tokio::test]
+async fn the_final_answer_comes_before_the_client_gives_up() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    let sent = std::time::Instant::now();
+    client.job("once", 30, 2000).await;
+    let id = server.asked().await.accept();
+    assert_eq!(client.heard().await.expect("an answer").status(), 500);
+    assert!(sent.elapsed().as_millis() < 2000, "{:?}", sent.elapsed());
+    assert_eq!(server.asked().await.message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
+}
+
+#[tokio::test]
+async fn the_list_is_followed_and_a_bad_or_silent_answer_keeps_it() {
+    let (mut one, mut two) = (Party::new().await, Party::new().await);
+    let mut scheduler = Scheduler::start(&[one.address]).await;
+    let watch = scheduler.discovery.asked().await;
+    assert_eq!(watch.message.first, "GET /api/targets?from=5&hold_ms=2000 HTTP/1.1");
+    watch.answer("200 OK", "", r#"{"revision":6,"complete":true,"members":[{"id":1}]}"#);
+    let again = scheduler.discovery.asked().await;
+    assert!(again.message.first.contains("from=5"), "a bad answer changes nothing");
+    // The entry moves to another address and keeps its name.
+    again.answer("200 OK", "", &list(6, false, &[member("r0", two.address, "SERVING")]));
+    let silent = scheduler.discovery.asked().await;
+    let mut client = scheduler.client().await;
+    client.job("once", 40, 9000).await;
+    let id = two.asked().await.accept();
+    scheduler.call_back(&id, "r0", DONE).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    // A watch that stays silent is dropped and made again.
+    let next = scheduler.discovery.asked().await;
+    assert!(next.message.first.contains("from=6"));
+    drop(silent);
+    // Nothing new goes to an entry that drains: with no other, the job is refused.
+    next.answer("200 OK", "", &list(7, false, &[member("r0", two.address, "DRAINING")]));
+    scheduler.discovery.asked().await;
+    client.job("once", 41, 9000).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 503);
+    assert!(one.idle() && two.idle());
+}
+
+// Guards against an end that loses what was taken, or that turns latecomers and call-backs away.
+#[tokio::test]
+async fn sigterm_answers_what_was_taken_and_ends_well() {
+    let mut server = Party::new().await;
+    let mut scheduler = Scheduler::start(&[server.address]).await;
+    let (mut client, mut idle) = (scheduler.client().await, scheduler.client().await);
+    assert_eq!(idle.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").await.status(), 200);
+    client.job("once", 50, 9000).await;
+    let id = server.asked().await.accept();
+    scheduler.terminate().await;
+    assert!(idle.heard().await.is_none(), "an idle edge connection closes");
+    let mut late = scheduler.client().await;
+    assert_eq!(late.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").await.status(), 503);
+    let mut late = scheduler.client().await;
+    late.job("once", 51, 9000).await;
+    let second = server.asked().await.accept();
+    for (id, client) in [(id, &mut client), (second, &mut late)] {
+        assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+        let answer = client.heard().await.expect("an answer");
+        assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
+    }
+    // What does not end in time is answered all the same.
+    let mut last = scheduler.client().await;
+    last.job("once", 52, 9000).await;
+    server.asked().await.accept();
+    assert_eq!(last.heard().await.expect("an answer").status(), 500);
+    assert!(scheduler.child.wait().await.expect("it ends").success());
+}
+
+#[tokio::test]
+async fn bad_requests_and_call_backs_get_their_status_and_do_no_harm() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let good = job("safe", 60, 9000);
+    let cases = [
+        (good.replace("X-Timeout: 9000m", "X-Timeout: 9s"), 400),
+        (good.replace("X-Timeout", "X-Other"), 400),
+        (good.replace("X-Request-ID: 0", "X-Request-ID: z"), 400),
+        (good.replace("X-Request-ID", "X-Other"), 400),
+        (good.replace("/safe/", "/unheard/"), 404),
+        (good.replace("/safe/k?q=1", "/"), 404),
+        (good.replace("POST", "PUT"), 405),
+        (good.replace("Content-Length: 2", "Content-Length: 65537"), 413),
+        ("GET /_jobs/news HTTP/1.1\r\nHost: s\r\n\r\n".into(), 405),
+        ("\u{1}\u{2}garbage\r\n\r\n".into(), 400),
+    ];
+    for (text, status) in cases {
+        assert_eq!(scheduler.client().await.ask(&text).await.status(), status, "{text}");
+    }
+    let deep = "[".repeat(60_000);
+    for body in ["", "{", "[]", deep.as_str(), r#"{"id":"1","from":"r0","state":"done"}"#] {
+        assert_eq!(scheduler.news(body).await, 400, "{body:.50}");
+    }
+    assert!(server.idle(), "nothing of this was passed on");
+    let mut client = scheduler.client().await;
+    client.send(&good).await;
+    let id = server.asked().await.accept();
+    // An id that is in use is not taken twice.
+    assert_eq!(scheduler.client().await.ask(&good).await.status(), 400);
+    scheduler.call_back(&id, "r0", r#""state":"done","result":"","load":{"x0":"much"}"#).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+}
+
+// Guards against an accept loop that ends, or spins, when descriptors run out.
+#[tokio::test]
+async fn it_survives_a_want_of_descriptors() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start_by("ulimit -n 24; exec \"$PROGRAM\"", &[server.address]).await;
+    let mut crowd = Vec::new();
+    for _ in 0..40 {
+        crowd.push(scheduler.client().await);
+    }
+    let mut client = scheduler.client().await;
+    client.job("once", 70, 9000).await;
+    drop(crowd);
+    let id = server.asked().await.accept();
+    scheduler.call_back(&id, "r0", DONE).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+}
+
+#[test]
+fn a_bad_configuration_is_one_clear_line_and_a_failure() {
+    let program = || std::process::Command::new(env!("CARGO_BIN_EXE_copperspread"));
+    let path = std::env::temp_dir().join(format!("copperspread-bad-{}.json", std::process::id()));
+    let here = "127.0.0.1:1".parse().expect("an address");
+    let good = config(here, here, &list(1, true, &[]));
+    for (from, to) in [("\"listen\":\"127", "\"listen\":\"x"), ("pure", "perhaps"), ("}", ""), ("9", "-")] {
+        std::fs::write(&path, good.replace(from, to)).expect("a file");
+        let output = program().env("EDGE_CONFIG", &path).output().expect("it runs");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success() && said.lines().count() == 1, "{from}: {said}");
+    }
+    let _ = std::fs::remove_file(&path);
+    let output = program().env_remove("EDGE_CONFIG").output().expect("it runs");
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("EDGE_CONFIG"));
+}
--- /dev/null
+++ b/tests/sockets/mod.rs
@@ -0,0 +1,209 @@
+//! A scheduler under test, with every party it speaks to played by the test over sockets. What
+//! reaches a party is an event that the test takes and answers.
+#![allow(dead_code)]
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::process::Stdio;
+
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::sync::{mpsc, oneshot};
+
+/// An HTTP message: its first line, headers by lower-case name, and body.
+#[derive(Debug)]
+pub struct Message {
+    pub first: String,
+    pub headers: HashMap<String, String>,
+    pub body: String,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).expect("a status")
+    }
+}
+
+async fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut first = String::new();
+    stream.read_line(&mut first).await.ok().filter(|&n| n > 0)?;
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).await.ok().filter(|&n| n > 0)?;
+        let Some((name, value)) = line.split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length").map_or(0, |length| length.parse().expect("a length"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(Message { first: first.trim().to_owned(), headers, body: String::from_utf8(body).expect("UTF-8") })
+}
+
+/// A request that reached a party, to be answered; dropped, its connection closes.
+pub struct Asked {
+    pub message: Message,
+    reply: oneshot::Sender<String>,
+}
+
+impl Asked {
+    pub fn answer(self, status: &str, headers: &str, body: &str) {
+        let length = body.len();
+        let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        let _ = self.reply.send(text);
+    }
+    /// The real server's 202; returns the job's id.
+    pub fn accept(self) -> String {
+        let id = self.message.headers["x-request-id"].clone();
+        self.answer("202 Accepted", "", "");
+        id
+    }
+}
+
+/// A party that listens: discovery or a real server.
+pub struct Party {
+    pub address: SocketAddr,
+    asked: mpsc::UnboundedReceiver<Asked>,
+}
+
+impl Party {
+    pub async fn new() -> Party {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (events, asked) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let events = events.clone();
+                tokio::spawn(async move {
+                    let mut stream = BufReader::new(stream);
+                    while let Some(message) = read(&mut stream).await {
+                        let (reply, answer) = oneshot::channel();
+                        if events.send(Asked { message, reply }).is_err() {
+                            return;
+                        }
+                        let Ok(answer) = answer.await else { return };
+                        let _ = stream.write_all(answer.as_bytes()).await;
+                    }
+                });
+            }
+        });
+        Party { address, asked }
+    }
+    pub async fn asked(&mut self) -> Asked {
+        self.asked.recv().await.expect("the party lives")
+    }
+    pub fn idle(&mut self) -> bool {
+        self.asked.try_recv().is_err()
+    }
+}
+
+/// A client's connection.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub async fn to(address: SocketAddr) -> Client {
+        Client(BufReader::new(TcpStream::connect(address).await.expect("it listens")))
+    }
+    pub async fn send(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("it reads");
+    }
+    pub async fn heard(&mut self) -> Option<Message> {
+        read(&mut self.0).await
+    }
+    pub async fn ask(&mut self, text: &str) -> Message {
+        self.send(text).await;
+        self.heard().await.expect("an answer")
+    }
+    pub async fn job(&mut self, class: &str, id: u64, millis: u64) {
+        self.send(&job(class, id, millis)).await;
+    }
+}
+
+pub fn job(class: &str, id: u64, millis: u64) -> String {
+    let head = format!("POST /{class}/k?q=1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: {id:016x}\r\n");
+    head + &format!(
+        "X-Timeout: {millis}m\r\nIdempotency-Key: k7\r\nX-Cost: 1000\r\nContent-Length: 2\r\n\r\nhi"
+    )
+}
+
+/// One line of discovery's list.
+pub fn member(id: &str, address: SocketAddr, phase: &str) -> String {
+    let place = r#""locality":"a","flavor":"m","cell":0,"size":1.0,"up_since_ms":0"#;
+    format!(r#"{{"id":"{id}","host_port":"{address}","phase":"{phase}",{place}}}"#)
+}
+
+pub fn list(revision: u64, complete: bool, members: &[String]) -> String {
+    let members = members.join(",");
+    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
+}
+
+const SETTINGS: &str = r#"{"fleet_size":1,"zone":0,"zones":["a"],"kinds":["m"],"unknown":[1],
+ "classes":[{"name":"safe","aim_s":9,"deadline_s":9,"importance":1,"semantics":"pure"},
+            {"name":"once","aim_s":9,"deadline_s":9,"importance":1,"semantics":"side_effect"}],
+ "discovery":"pushed","family_info":{"class_stretch":[2,2],"tells_start":true},
+ "permissions":{"send_cap":4,"second_copies":true,"may_cancel":true,"connect_timeout_s":0.25,"keepalive_s":5,
+                "max_retry_after_s":2},
+ "safety":{"cold_from":0.3,"cold_s":9,"fall_multiple":2.5,"fall_s":3}}"#;
+
+pub fn config(listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+    let limits = r#""limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"seed":"8c1f30d27a5be964""#;
+    format!(
+        r#"{{"name":"n","listen":"{listen}","discovery":"{discovery}",{limits},"known":{known},"settings":{SETTINGS}}}"#
+    )
+}
+
+/// The program, and the discovery it watches.
+pub struct Scheduler {
+    pub address: SocketAddr,
+    pub discovery: Party,
+    pub child: Child,
+    _log: Lines<BufReader<ChildStderr>>,
+}
+
+impl Scheduler {
+    /// Starts it with real servers that it knows from before, named r0, r1, ...
+    pub async fn start(known: &[SocketAddr]) -> Scheduler {
+        Scheduler::start_by("exec \"$PROGRAM\"", known).await
+    }
+    pub async fn start_by(command: &str, known: &[SocketAddr]) -> Scheduler {
+        let discovery = Party::new().await;
+        let free = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = free.local_addr().expect("an address");
+        drop(free);
+        let members: Vec<_> = known.iter().enumerate().collect();
+        let members: Vec<_> =
+            members.iter().map(|(i, at)| member(&format!("r{i}"), **at, "SERVING")).collect();
+        let content = config(address, discovery.address, &list(5, true, &members));
+        let path = std::env::temp_dir().join(format!("copperspread-{}.json", address.port()));
+        std::fs::write(&path, content).expect("a configuration");
+        let mut child = Command::new("sh")
+            .args(["-c", command])
+            .env("PROGRAM", env!("CARGO_BIN_EXE_copperspread"))
+            .env("EDGE_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("it starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let line = log.next_line().await.expect("a log").expect("a line");
+        assert!(line.contains("serves on"), "{line}");
+        let _ = std::fs::remove_file(path);
+        Scheduler { address, discovery, child, _log: log }
+    }
+    pub async fn client(&self) -> Client {
+        Client::to(self.address).await
+    }
+    /// A call-back with these further fields; returns the status that it gets.
+    pub async fn call_back(&self, id: &str, from: &str, fields: &str) -> u16 {
+        self.news(&format!(r#"{{"id":"{id}","from":"{from}",{fields}}}"#)).await
+    }
+    pub async fn news(&self, body: &str) -> u16 {
+        let length = body.len();
+        let text = format!("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: {length}\r\n\r\n{body}");
+        self.client().await.ask(&text).await.status()
+    }
+    pub async fn terminate(&self) {
+        let id = self.child.id().expect("it runs").to_string();
+        assert!(Command::new("kill").arg(&id).status().await.expect("kill runs").success());
+    }
+}
