Keep the last edge connections for call-backs

Seen: clients could hold every place at the edge, while their answers wait for call-backs. Wrong: net/edge counted places without telling clients from real servers apart. A job that comes while less than an eighth of the places is free fails at once, and its connection closes; it is no refusal, as the module did not refuse. Test: places_are_kept_for_call_backs.

--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -117,6 +117,11 @@
         self.places.available_permits() > self.most / 4
     }
 
+    /// The last places are left, which are kept for call-backs.
+    fn crowded(&self) -> bool {
+        self.places.available_permits() < self.most / 8
+    }
+
     /// Takes edge connections for good.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
@@ -148,11 +153,18 @@
             let (edge, used) = (Arc::clone(self), Arc::clone(&mine));
             async move {
                 let _busy = Busy::new(&edge.busy);
-                used.store(request.uri().path() != CALL_BACK_PATH, Ordering::Relaxed);
+                let of_client = request.uri().path() != CALL_BACK_PATH;
+                used.store(of_client, Ordering::Relaxed);
                 let mut router = edge.router.clone();
-                let mut response = match router.call(request.map(Body::new)).await {
-                    Ok(response) => response,
-                    Err(never) => match never {},
+                // Guards against clients that fill all places and shut the call-backs out on which
+                // their answers wait. Not a refusal: those are the module's.
+                let mut response = if of_client && edge.crowded() {
+                    StatusCode::INTERNAL_SERVER_ERROR.into_response()
+                } else {
+                    match router.call(request.map(Body::new)).await {
+                        Ok(response) => response,
+                        Err(never) => match never {},
+                    }
                 };
                 if edge.node.ending.begun() || !edge.roomy() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -230,7 +230,7 @@
 #[tokio::test]
 async fn it_survives_a_want_of_descriptors() {
     let mut server = Party::new().await;
-    let scheduler = Scheduler::start_by("ulimit -n 24; exec \"$PROGRAM\"", &[server.address]).await;
+    let scheduler = Scheduler::start_by("ulimit -n 24; exec \"$PROGRAM\"", 1024, &[server.address]).await;
     let mut crowd = Vec::new();
     for _ in 0..40 {
         crowd.push(scheduler.client().await);
@@ -243,6 +243,26 @@
     assert_eq!(client.heard().await.expect("an answer").status(), 200);
 }
 
+// Guards against clients that shut out the call-backs on which their own answers wait.
+#[tokio::test]
+async fn places_are_kept_for_call_backs() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start_by("exec \"$PROGRAM\"", 64, &[server.address]).await;
+    let mut first = scheduler.client().await;
+    first.job("once", 80, 9000).await;
+    let id = server.asked().await.accept();
+    let mut crowd = Vec::new();
+    for _ in 0..29 {
+        crowd.push(scheduler.client().await);
+    }
+    let last = crowd.last_mut().expect("a crowd");
+    last.job("once", 81, 9000).await;
+    let answer = last.heard().await.expect("an answer");
+    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (500, "close"));
+    assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+    assert_eq!(first.heard().await.expect("an answer").status(), 200);
+}
+
 #[test]
 fn a_bad_configuration_is_one_clear_line_and_a_failure() {
     let program = || std::process::Command::new(env!("CARGO_BIN_EXE_copperspread"));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -163,9 +163,10 @@
 impl Scheduler {
     /// Starts it with real servers that it knows from before, named r0, r1, ...
     pub async fn start(known: &[SocketAddr]) -> Scheduler {
-        Scheduler::start_by("exec \"$PROGRAM\"", known).await
+        Scheduler::start_by("exec \"$PROGRAM\"", 1024, known).await
     }
-    pub async fn start_by(command: &str, known: &[SocketAddr]) -> Scheduler {
+    /// The same by a shell's command, with so many descriptors in its configuration.
+    pub async fn start_by(command: &str, sockets: u32, known: &[SocketAddr]) -> Scheduler {
         let discovery = Party::new().await;
         let free = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = free.local_addr().expect("an address");
@@ -174,6 +175,7 @@
         let members: Vec<_> =
             members.iter().map(|(i, at)| member(&format!("r{i}"), **at, "SERVING")).collect();
         let content = config(address, discovery.address, &list(5, true, &members));
+        let content = content.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
         let path = std::env::temp_dir().join(format!("copperspread-{}.json", address.port()));
         std::fs::write(&path, content).expect("a configuration");
         let mut child = Command::new("sh")
