--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -205,7 +205,7 @@
         self.client().await.ask(&text).await.status()
     }
     pub async fn terminate(&self) {
-        let id = self.child.id().expect("it runs").to_string();
-        assert!(Command::new("kill").arg(&id).status().await.expect("kill runs").success());
+        let kill = format!("kill {}", self.child.id().expect("it runs"));
+        assert!(Command::new("sh").args(["-c", &kill]).status().await.expect("a shell").success());
     }
 }
