Bound the log and the waits that peers can cause, and test more of the traps

Seen: each bad message wrote a line, on the thread that serves, and a log that nobody reads would have ended the program (eprintln panics on a broken pipe); X-Timeout could name any span. Wrong: the eprintln calls in net/edge.rs, net/service_entry.rs and main.rs; read_timeout. Tests: counted invariants; idle time below the keep-alive; no resend on a used connection; no first byte to an entry that drains; the watch goes on within 200 ms.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,13 +2,14 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use copperspread::net::Node;
 use copperspread::net::clock::{Clock, from_now};
 use copperspread::net::config::{self, Config};
 use copperspread::net::decisions::Decisions;
 use copperspread::net::edge::{Edge, Ending};
+use copperspread::net::invariant::{counts, log};
 use copperspread::net::real_server::RealServers;
 use copperspread::net::service_entry::{self, ServiceEntries};
-use copperspread::net::{Node, invariant};
 use copperspread::{Micros, SECOND};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -44,22 +45,22 @@
     let edge = Edge::new(Arc::clone(&node), config.sockets);
     tokio::spawn(service_entry::follow(config.discovery, known, entries, decisions));
     tokio::spawn(Arc::clone(&edge).accept(listener));
-    eprintln!("copperspread: {} serves on {}", config.name, config.listen);
+    log(format_args!("{} serves on {}", config.name, config.listen));
 
     term.recv().await;
     let by = from_now(longest.min(ANSWERED_BY));
     let latecomers = from_now(LATECOMERS);
     node.ending.begin(by);
-    eprintln!("copperspread: ending, {} flows to answer", node.decisions.flows());
+    log(format_args!("ending, {} flows to answer", node.decisions.flows()));
     // Connections and call-backs are taken until the last.
     while Instant::now() < latecomers || (edge.busy() > 0 && Instant::now() < by) {
         sleep_until(from_now(LOOK)).await;
     }
     sleep_until(from_now(LAST_WORDS)).await;
-    for (what, count) in invariant::counts() {
-        eprintln!("copperspread: invariant broken {count} times: {what}");
+    for (what, count) in counts() {
+        log(format_args!("{what}: {count} in all"));
     }
-    eprintln!("copperspread: ended, {} requests left", edge.busy());
+    log(format_args!("ended, {} requests left", edge.busy()));
     Ok(())
 }
 
@@ -76,7 +77,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("copperspread: {}", why.replace('\n', " "));
+            log(format_args!("{}", why.replace('\n', " ")));
             ExitCode::FAILURE
         }
     }
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -25,6 +25,7 @@
 use crate::net::Node;
 use crate::net::clock::from_now;
 use crate::net::flow::{self, Answer, Demand};
+use crate::net::invariant::note;
 use crate::net::real_server::{self, Order};
 
 /// Longest body of a request.
@@ -32,6 +33,8 @@
 /// An answer is due this long before the client gives up: it covers the way of both messages and
 /// this process's own waits for its part of a core.
 const MARGIN: Micros = 50_000;
+/// Longest time that a client is believed to wait.
+const LONGEST_WAIT: Micros = 86_400 * SECOND;
 /// A call-back's body that has not come by then is dropped.
 const CALL_BACK_WITHIN: Micros = 2 * SECOND;
 /// An edge connection that sends no request for this long is closed.
@@ -137,7 +140,7 @@
                 Err(error) if of_one_connection(&error) => {}
                 // Guards against an end, or a busy loop, when descriptors run out.
                 Err(error) => {
-                    eprintln!("copperspread: accept: {error}");
+                    note("no connection taken", &error.to_string());
                     sleep_until(from_now(ACCEPT_PAUSE)).await;
                 }
             }
@@ -260,7 +263,7 @@
             StatusCode::NO_CONTENT
         }
         Err(why) => {
-            eprintln!("copperspread: bad call-back: {why}");
+            note("bad call-back", &why);
             StatusCode::BAD_REQUEST
         }
     }
@@ -278,7 +281,7 @@
         return (StatusCode::METHOD_NOT_ALLOWED, [(header::ALLOW, "POST")]).into_response();
     }
     let demanded = read_head(&head.headers, class as u32);
-    let Ok((job, id)) = demanded.map_err(|why| eprintln!("copperspread: bad request: {why}")) else {
+    let Ok((job, id)) = demanded.map_err(|why| note("bad request", &why)) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
     let deadline = arrived + Duration::from_micros(job.time_left);
@@ -313,7 +316,7 @@
     Ok((job, id.to_owned()))
 }
 
-/// A number and a unit: `m` for milliseconds, `u` for microseconds.
+/// A number and a unit: `m` for milliseconds, `u` for microseconds. Absurd figures are cut.
 pub fn read_timeout(text: &str) -> Option<Micros> {
     let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
     let scale = match unit {
@@ -323,7 +326,7 @@
     };
     let plain = number.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
     let span: f64 = number.parse().ok().filter(|_| plain)?;
-    Some((span * scale) as Micros)
+    Some(((span * scale) as Micros).min(LONGEST_WAIT))
 }
 
 /// One of the further figures, `name=value,name=value`; a garbled one counts as absent.
--- a/src/net/invariant.rs
+++ b/src/net/invariant.rs
@@ -1,22 +1,35 @@
-//! What must hold: asserted in debug builds, counted in release builds.
+//! What must hold: asserted in debug builds, counted in release builds. And the log, with
+//! its counts of what peers did wrong.
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::sync::{Mutex, PoisonError};
 
-static BROKEN: Mutex<BTreeMap<&'static str, u64>> = Mutex::new(BTreeMap::new());
+static COUNTS: Mutex<BTreeMap<&'static str, u64>> = Mutex::new(BTreeMap::new());
 
-/// Counts what did not hold and logs its 1st, 2nd, 4th, 8th ... time.
+/// Writes a line to the log. Guards against a log that nobody reads any more: no panic.
+pub fn log(line: std::fmt::Arguments<'_>) {
+    let _ = writeln!(std::io::stderr(), "copperspread: {line}");
+}
+
+/// Counts what did not hold.
 pub fn broken(what: &'static str) {
-    let mut counts = BROKEN.lock().unwrap_or_else(PoisonError::into_inner);
+    note(what, "it does not hold");
+}
+
+/// Counts a kind of event and logs its 1st, 2nd, 4th, 8th ... time. Guards against a log, and a
+/// thread that writes it, drowned by a peer that repeats its mistake.
+pub fn note(what: &'static str, why: &str) {
+    let mut counts = COUNTS.lock().unwrap_or_else(PoisonError::into_inner);
     let count = counts.entry(what).or_default();
     *count += 1;
     if count.is_power_of_two() {
-        eprintln!("copperspread: invariant broken {count} times: {what}");
+        log(format_args!("{what} ({count} so far): {why}"));
     }
 }
 
 /// All counts so far, for the closing line of the log.
 pub fn counts() -> Vec<(&'static str, u64)> {
-    let counts = BROKEN.lock().unwrap_or_else(PoisonError::into_inner);
+    let counts = COUNTS.lock().unwrap_or_else(PoisonError::into_inner);
     counts.iter().map(|(&what, &count)| (what, count)).collect()
 }
 
@@ -31,3 +44,15 @@
         }
     };
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn what_does_not_hold_stops_a_debug_build_and_is_counted_in_release() {
+        let broken = std::panic::catch_unwind(|| {
+            invariant!(1 + 1 == 3, "sums hold");
+        });
+        let counted = super::counts().contains(&("sums hold", 1));
+        assert!(broken.is_err() == cfg!(debug_assertions) && counted != cfg!(debug_assertions));
+    }
+}
--- a/src/net/real_server.rs
+++ b/src/net/real_server.rs
@@ -151,6 +151,11 @@
     pub body: Bytes,
 }
 
+/// How long an idle connection is kept here, when the real servers keep theirs for so long.
+pub fn kept_idle(keepalive: Micros) -> Micros {
+    ((keepalive as f64 * KEEP_SHARE) as Micros).min(keepalive.saturating_sub(KEEP_MARGIN))
+}
+
 /// The client's side of all real servers.
 pub struct RealServers {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -163,12 +168,10 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_micros(settings.connect_within)));
-        let keep = (settings.keepalive as f64 * KEEP_SHARE) as Micros;
-        let keep = keep.min(settings.keepalive.saturating_sub(KEEP_MARGIN));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             // Guards against a request written to a connection that the real server is closing.
-            .pool_idle_timeout(Duration::from_micros(keep))
+            .pool_idle_timeout(Duration::from_micros(kept_idle(settings.keepalive)))
             .pool_max_idle_per_host(IDLE_MOST)
             // Guards against a second copy that nobody decided: the library never resends.
             .retry_canceled_requests(false)
--- a/src/net/service_entry.rs
+++ b/src/net/service_entry.rs
@@ -16,6 +16,7 @@
 use crate::json::{self, flag, need, text, whole};
 use crate::net::clock::from_now;
 use crate::net::decisions::Decisions;
+use crate::net::invariant::note;
 use crate::settings::NodeSettings;
 
 /// Longest body that discovery sends.
@@ -265,7 +266,7 @@
                 }
             }
             Err(why) => {
-                eprintln!("copperspread: discovery: {why}; the list stays as it is");
+                note("no answer of discovery, the list stays", &why);
                 if decisions.on_request() {
                     decisions.roster(RosterKind::Failed, 0, &[]);
                     decisions.subscription().await;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,7 +1,7 @@
 //! What reads the network: random cuts of valid messages and random garbage, from fixed seeds.
 mod sockets;
 use copperspread::json;
-use copperspread::net::real_server::{load_header, read_call_back, request_id};
+use copperspread::net::real_server::{kept_idle, load_header, read_call_back, request_id};
 use copperspread::net::{config, edge, service_entry};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -78,5 +78,7 @@
     for bad in ["", "m", "480", "480s", "-4m", "1e9m", "NaNm", "é"] {
         assert_eq!(edge::read_timeout(bad), None, "{bad}");
     }
+    assert_eq!(edge::read_timeout("99999999999999999999m"), Some(86_400_000_000), "absurd waits are cut");
+    assert_eq!((kept_idle(5_000_000), kept_idle(1_000_000), kept_idle(1)), (4_500_000, 700_000, 0));
     assert_eq!(edge::attribute("memory=0.3,slots=2", &["slots"]), Some(2.0));
 }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -87,6 +87,10 @@
     assert_eq!(answer.status(), 503);
     let after: f64 = answer.headers["retry-after"].parse().expect("seconds");
     assert!((0.0..=2.0).contains(&after), "{after}");
+    // Nor is a job that breaks on a connection used before sent again by the client's library.
+    client.job("once", 8, 9000).await;
+    drop(one.asked().await);
+    assert_eq!(client.heard().await.expect("an answer").status(), 500);
     assert!(one.idle(), "nothing came twice");
     // Two that refuse connections and one that serves.
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -141,7 +145,9 @@
     let watch = scheduler.discovery.asked().await;
     assert_eq!(watch.message.first, "GET /api/targets?from=5&hold_ms=2000 HTTP/1.1");
     watch.answer("200 OK", "", r#"{"revision":6,"complete":true,"members":[{"id":1}]}"#);
+    let told = std::time::Instant::now();
     let again = scheduler.discovery.asked().await;
+    assert!(told.elapsed().as_millis() < 200, "the watch goes on: {:?}", told.elapsed());
     assert!(again.message.first.contains("from=5"), "a bad answer changes nothing");
     // The entry moves to another address and keeps its name.
     again.answer("200 OK", "", &list(6, false, &[member("r0", two.address, "SERVING")]));
@@ -243,6 +249,27 @@
     assert_eq!(client.heard().await.expect("an answer").status(), 200);
 }
 
+// Guards against new work for an entry that began to drain after the module had chosen it.
+#[tokio::test]
+async fn an_entry_that_drains_gets_no_first_byte() {
+    use copperspread::net::{clock::from_now, config, real_server, service_entry};
+    let mut server = Party::new().await;
+    let config =
+        config::read(&config(server.address, server.address, &list(1, true, &[]))).expect("it is good");
+    let entries = std::sync::Arc::new(service_entry::ServiceEntries::new(&config.given.node));
+    let real_servers = real_server::RealServers::new(&config.given.node, entries.clone());
+    let (headers, body) = (Default::default(), Default::default());
+    let order =
+        real_server::Order { id: String::new(), path: "/once/k".parse().expect("a path"), headers, body };
+    for (revision, phase) in [(2, "DRAINING"), (3, "DELETED")] {
+        let told = copperspread::json::parse(&list(revision, true, &[member("r0", server.address, phase)]));
+        entries.take(&told.and_then(|told| service_entry::read_list(&told)).expect("a list"));
+        let ended = real_servers.hand_over(copperspread::WorkerId(0), &order, from_now(9_000_000)).await;
+        assert_eq!(ended, Err((copperspread::Outcome::Moot, None)));
+    }
+    assert!(server.idle());
+}
+
 // Guards against clients that shut out the call-backs on which their own answers wait.
 #[tokio::test]
 async fn places_are_kept_for_call_backs() {
