Let the toy's discovery answer a new watcher at once

Seen: tried as a newcomer, the first job was refused: the toy held the first watch for 2 s, though it had a newer list to tell. Wrong: targets in examples/toy/main.rs, which held every watch. Checked: the README's commands by hand: one job 200; of nine at once six served, three refused with Retry-After 0.41 s; SIGTERM ended the scheduler.

--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -44,11 +44,13 @@
     call_back(&caller, format!(r#"{{"id":"{id}","from":"toy-1",{result}}}"#)).await;
 }
 
-/// The whole list at once; a watch is held for as long as it asks, as nothing ever changes.
+/// The whole list. A watch from its only version is held for as long as it asks.
 async fn targets(request: Request) -> String {
     let query = request.uri().query().unwrap_or_default();
-    let held = query.split('&').find_map(|pair| pair.strip_prefix("hold_ms="));
-    sleep(Duration::from_millis(held.and_then(|ms| ms.parse().ok()).unwrap_or(0))).await;
+    let figure = |name| query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse::<u64>().ok());
+    if figure("from=") == Some(1) {
+        sleep(Duration::from_millis(figure("hold_ms=").unwrap_or(0))).await;
+    }
     let place = r#""locality":"a","flavor":"toy","cell":0,"phase":"SERVING","size":1.0,"up_since_ms":0"#;
     let member = format!(r#"{{"id":"toy-1","host_port":"{REAL_SERVER}",{place}}}"#);
     format!(r#"{{"revision":1,"complete":true,"members":[{member}]}}"#)
