Bound edge connections by memory too, and hand-overs by descriptors

Seen: limits.memory_mb was read and not used, and hand-overs to silent real servers could take the descriptors that call-backs need. Wrong: Edge::new in net/edge.rs, hand_over in net/real_server.rs. Edge connections now fit into half of the memory at 160 KiB each (585 at 192 MB, of 752 by descriptors); an eighth of the descriptors at most hands over at once, and one more counts as a connection that never came up. Tests: edge_connections_fit_within_the_limits, neither_draining_nor_silent_real_servers_get_more.

--- a/src/main.rs
+++ b/src/main.rs
@@ -35,14 +35,14 @@
     let node = Arc::new(Node {
         clock,
         decisions: Arc::clone(&decisions),
-        real_servers: RealServers::new(&config.given.node, Arc::clone(&entries)),
+        real_servers: RealServers::new(&config.given.node, Arc::clone(&entries), config.sockets),
         entries: Arc::clone(&entries),
         settings: config.given.node,
         ending: Ending::default(),
     });
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let edge = Edge::new(Arc::clone(&node), config.sockets);
+    let edge = Edge::new(Arc::clone(&node), config.sockets, config.memory_mb);
     tokio::spawn(service_entry::follow(config.discovery, known, entries, decisions));
     tokio::spawn(Arc::clone(&edge).accept(listener));
     log(format_args!("{} serves on {}", config.name, config.listen));
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -20,6 +20,8 @@
     pub seed: u64,
     /// How many descriptors the process may hold.
     pub sockets: usize,
+    /// How much memory it may use, in megabytes.
+    pub memory_mb: f64,
     /// The service entries as this scheduler last had them, possibly stale.
     pub known: Option<List>,
     /// The settings.
@@ -34,7 +36,6 @@
     let discovery = need(text(&config, "discovery"), "discovery")?;
     let seed = need(text(&config, "seed"), "seed")?;
     let limits = field(&config, "limits").unwrap_or(&nothing);
-    number(limits, "memory_mb").map_err(|e| format!("limits: {e}"))?;
     let settings = field(&config, "settings").ok_or("settings is missing")?;
     Ok(Config {
         name: text(&config, "name")?.unwrap_or_default().to_owned(),
@@ -42,6 +43,7 @@
         discovery: discovery.parse().map_err(|_| format!("discovery: {discovery:?} is no address"))?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed:?} is no hex number"))?,
         sockets: whole(limits, "sockets").map_err(|e| format!("limits: {e}"))?.unwrap_or(1024),
+        memory_mb: number(limits, "memory_mb").map_err(|e| format!("limits: {e}"))?.unwrap_or(192.0),
         known: field(&config, "known")
             .map(service_entry::read_list)
             .transpose()
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -41,6 +41,8 @@
 const IDLE: Duration = Duration::from_secs(75);
 /// Most bytes buffered for one edge connection.
 const BUFFER: usize = 16 * 1024;
+/// Most bytes that one edge connection holds on to: a request's body, a result and its buffers.
+const WEIGHT: usize = 2 * LONGEST_BODY + 2 * BUFFER;
 /// Wait after an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Micros = 20_000;
 /// Headers that concern one connection only and do not pass on.
@@ -101,10 +103,9 @@
 }
 
 impl Edge {
-    /// The edge of a node that may hold some descriptors in all. A quarter is kept for real
-    /// servers, discovery and files.
-    pub fn new(node: Arc<Node>, sockets: usize) -> Arc<Edge> {
-        let most = (sockets - sockets / 4).saturating_sub(16).max(8);
+    /// The edge of a node within its limits.
+    pub fn new(node: Arc<Node>, sockets: usize, memory_mb: f64) -> Arc<Edge> {
+        let most = places(sockets, memory_mb);
         let router = routes(Arc::clone(&node));
         let places = Arc::new(Semaphore::new(most));
         Arc::new(Edge { node, router, places, most, busy: AtomicUsize::new(0) })
@@ -198,6 +199,14 @@
     }
 }
 
+/// How many edge connections fit: a quarter of the descriptors is kept for real servers, discovery
+/// and files, and half of the memory for all but bodies on their way.
+fn places(sockets: usize, memory_mb: f64) -> usize {
+    let by_sockets = (sockets - sockets / 4).saturating_sub(16);
+    let by_memory = (memory_mb * 1e6 / 2.0) as usize / WEIGHT;
+    by_sockets.min(by_memory).max(8)
+}
+
 struct Busy<'a>(&'a AtomicUsize);
 
 impl Busy<'_> {
@@ -356,3 +365,14 @@
         Answer::Repeated => StatusCode::BAD_REQUEST.into_response(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn edge_connections_fit_within_the_limits() {
+        assert_eq!(super::places(1024, 2048.0), 752);
+        assert_eq!(super::places(1024, 192.0), 585, "memory binds before descriptors");
+        assert_eq!(super::places(64, 192.0), 32);
+        assert_eq!(super::places(0, 0.0), 8, "a few in any case");
+    }
+}
--- a/src/net/real_server.rs
+++ b/src/net/real_server.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy::{Client, Error, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tinyjson::JsonValue;
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 
 use crate::interface::*;
@@ -26,7 +27,7 @@
 /// ... and at least this much less, since a request may be on its way when they close.
 const KEEP_MARGIN: Micros = 300_000;
 /// Most idle connections kept to one real server.
-const IDLE_MOST: usize = 16;
+const IDLE_MOST: usize = 8;
 /// A word of giving up that has not been answered by then is let go.
 const GIVE_UP_WITHIN: Micros = 2 * SECOND;
 
@@ -160,11 +161,13 @@
 pub struct RealServers {
     client: Client<HttpConnector, Full<Bytes>>,
     entries: Arc<ServiceEntries>,
+    /// Hand-overs that may be under way at once: an eighth of the descriptors.
+    places: Semaphore,
 }
 
 impl RealServers {
-    /// Makes the client within the settings.
-    pub fn new(settings: &NodeSettings, entries: Arc<ServiceEntries>) -> RealServers {
+    /// Makes the client within the settings and for a process of so many descriptors.
+    pub fn new(settings: &NodeSettings, entries: Arc<ServiceEntries>, sockets: usize) -> RealServers {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_micros(settings.connect_within)));
@@ -176,7 +179,7 @@
             // Guards against a second copy that nobody decided: the library never resends.
             .retry_canceled_requests(false)
             .build(connector);
-        RealServers { client, entries }
+        RealServers { client, entries, places: Semaphore::new((sockets / 8).max(4)) }
     }
 
     /// Hands a scheduling over; returns once the real server has taken it, or how it ended.
@@ -189,6 +192,9 @@
         // Guards against new work for a real server of which discovery told, after the module
         // chose it, that it drains or is gone.
         let Some(address) = self.entries.serving(worker) else { return Err((Outcome::Moot, None)) };
+        // Guards against real servers that fall silent by the dozen and hold the descriptors that
+        // call-backs need. As where none is left, no connection comes up.
+        let Ok(_place) = self.places.try_acquire() else { return Err((Outcome::ConnectFailed, None)) };
         let left = deadline.saturating_duration_since(Instant::now()).as_millis();
         let (Some(mut request), true) =
             (request(Method::POST, address, order.path.clone(), order.body.clone()), left > 0)
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -249,15 +249,16 @@
     assert_eq!(client.heard().await.expect("an answer").status(), 200);
 }
 
-// Guards against new work for an entry that began to drain after the module had chosen it.
+// Guards against new work for an entry that began to drain after the module had chosen it, and
+// against silent real servers that hold all descriptors.
 #[tokio::test]
-async fn an_entry_that_drains_gets_no_first_byte() {
+async fn neither_draining_nor_silent_real_servers_get_more() {
     use copperspread::net::{clock::from_now, config, real_server, service_entry};
     let mut server = Party::new().await;
     let config =
         config::read(&config(server.address, server.address, &list(1, true, &[]))).expect("it is good");
     let entries = std::sync::Arc::new(service_entry::ServiceEntries::new(&config.given.node));
-    let real_servers = real_server::RealServers::new(&config.given.node, entries.clone());
+    let real_servers = real_server::RealServers::new(&config.given.node, entries.clone(), 32);
     let (headers, body) = (Default::default(), Default::default());
     let order =
         real_server::Order { id: String::new(), path: "/once/k".parse().expect("a path"), headers, body };
@@ -268,6 +269,22 @@
         assert_eq!(ended, Err((copperspread::Outcome::Moot, None)));
     }
     assert!(server.idle());
+    // Real servers that stay silent hold four hand-overs, all that 32 descriptors allow.
+    let told = copperspread::json::parse(&list(4, true, &[member("r0", server.address, "SERVING")]));
+    entries.take(&told.and_then(|told| service_entry::read_list(&told)).expect("a list"));
+    let hand_over = || real_servers.hand_over(copperspread::WorkerId(0), &order, from_now(9_000_000));
+    let four = futures_util::future::select_all((0..4).map(|_| Box::pin(hand_over())));
+    let fifth = async {
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            held.push(server.asked().await);
+        }
+        hand_over().await
+    };
+    tokio::select! {
+        ended = fifth => assert_eq!(ended, Err((copperspread::Outcome::ConnectFailed, None))),
+        _ = four => panic!("a silent real server takes nothing"),
+    }
 }
 
 // Guards against clients that shut out the call-backs on which their own answers wait.
