--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! For every job it estimates the finish time at each worker by the processor-sharing formula,
 //! sends the job to the lowest estimate and refuses it on arrival when that estimate exceeds the
-//! time the job has left. It does no I/O, reads no clock and starts no thread: the node that loads
-//! it hands in events with their time and carries out the actions it gets back.
+//! time the job has left. [`Dispatcher`] does no I/O, reads no clock and starts no thread: the node
+//! that loads it hands in events with their time and carries out the actions it gets back. [`net`]
+//! is such a node, the real scheduler on sockets; the adapter on the simulator's wire is another.
 //!
 //! ```
 //! use copperspread::{
