--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,6 @@
-//! One real scheduler: starts, serves until SIGTERM, answers what it has taken and ends.
+//! One real scheduler: starts, serves until SIGTERM, answers what it has taken and ends. On SIGHUP it
+//! reads its configuration again.
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -11,8 +13,10 @@
 use copperspread::net::real_server::RealServers;
 use copperspread::net::service_entry::{self, ServiceEntries};
 use copperspread::{Micros, SECOND};
+use hyper::http::uri::Authority;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
 /// The longest time that jobs get after SIGTERM, with half a second to the kill that follows at the
@@ -25,29 +29,67 @@
 /// Time for the last answers to be written.
 const LAST_WORDS: Micros = 100_000;
 
-async fn serve(config: Config) -> Result<(), String> {
+fn read(path: &Path) -> Result<Config, String> {
+    let content = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    config::read(&content).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Reads the configuration again and follows the discovery that it names. Guards against one that
+/// cannot be used: the old one stays.
+fn read_again(path: &Path, started_with: &Config, discovery: &watch::Sender<Authority>) {
+    let config = match read(path) {
+        Ok(config) => config,
+        Err(why) => return log(format_args!("the old configuration stays: {}", one_line(&why))),
+    };
+    let fixed = started_with.fixed_unlike(&config);
+    if !fixed.is_empty() {
+        log(format_args!("changes only with a new start: {}", fixed.join(", ")));
+    }
+    let moved = discovery.send_if_modified(|old| {
+        let moved = *old != config.discovery;
+        *old = config.discovery;
+        moved
+    });
+    log(format_args!("read the configuration again, discovery {}", if moved { "moves" } else { "stays" }));
+}
+
+fn one_line(text: &str) -> String {
+    text.replace('\n', " ")
+}
+
+async fn serve(config: Config, path: &Path) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let longest = config.given.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let entries = Arc::new(ServiceEntries::new(&config.given.node));
-    let decisions = Decisions::new(config.given.decisions, config.seed, clock).map_err(|e| e.to_string())?;
+    let given = config.given.clone();
+    let decisions = Decisions::new(given.decisions, config.seed, clock).map_err(|e| e.to_string())?;
     let known = service_entry::remember(config.known.as_ref(), &entries, &decisions);
     let node = Arc::new(Node {
         clock,
         decisions: Arc::clone(&decisions),
         real_servers: RealServers::new(&config.given.node, Arc::clone(&entries), config.sockets),
         entries: Arc::clone(&entries),
-        settings: config.given.node,
+        settings: given.node,
         ending: Ending::default(),
     });
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let edge = Edge::new(Arc::clone(&node), config.sockets, config.memory_mb);
-    tokio::spawn(service_entry::follow(config.discovery, known, entries, decisions));
+    let (discovery, address) = watch::channel(config.discovery.clone());
+    tokio::spawn(service_entry::follow(address, known, entries, decisions));
     tokio::spawn(Arc::clone(&edge).accept(listener));
     log(format_args!("{} serves on {}", config.name, config.listen));
 
-    term.recv().await;
+    loop {
+        tokio::select! {
+            biased;
+            _ = term.recv() => break,
+            // Guards against an end by SIGHUP, also after SIGTERM: the handler stays.
+            _ = hup.recv() => read_again(path, &config, &discovery),
+        }
+    }
     let by = from_now(longest.min(ANSWERED_BY));
     let latecomers = from_now(LATECOMERS);
     node.ending.begin(by);
@@ -66,18 +108,18 @@
 
 fn start() -> Result<(), String> {
     let path = std::env::var_os("EDGE_CONFIG").ok_or("EDGE_CONFIG names no configuration")?;
-    let content = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let config = config::read(&content).map_err(|e| format!("{}: {e}", path.display()))?;
+    let path = Path::new(&path);
+    let config = read(path)?;
     // One core: one thread does all the work.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve(config))
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve(config, path))
 }
 
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            log(format_args!("{}", why.replace('\n', " ")));
+            log(format_args!("{}", one_line(&why)));
             ExitCode::FAILURE
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -28,6 +28,21 @@
     pub given: Given,
 }
 
+impl Config {
+    /// The parts in which another configuration differs and which only a new start can change. The
+    /// seed is new with each file and the known list is overtaken by discovery's own.
+    pub fn fixed_unlike(&self, other: &Config) -> Vec<&'static str> {
+        let limits = self.sockets == other.sockets && self.memory_mb == other.memory_mb;
+        let parts = [
+            ("name", self.name == other.name),
+            ("listen", self.listen == other.listen),
+            ("limits", limits),
+            ("settings", self.given == other.given),
+        ];
+        parts.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
+    }
+}
+
 /// Reads the configuration; the error says in words what is wrong with it.
 pub fn read(content: &str) -> Result<Config, String> {
     let config = json::parse(content)?;
--- a/src/net/decisions.rs
+++ b/src/net/decisions.rs
@@ -36,6 +36,8 @@
     dispatcher: Dispatcher,
     flows: HashMap<RequestId, Mailbox>,
     actions: Vec<Action>,
+    /// How many lists the module was told.
+    version: u64,
 }
 
 /// The dispatcher and the way from it to the flows. Its lock is never held over an await.
@@ -51,7 +53,7 @@
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Arc<Decisions>, SettingsError> {
         let on_request = settings.discovery == Discovery::OnRequest;
         let dispatcher = Dispatcher::new(settings, seed)?;
-        let inner = Inner { dispatcher, flows: HashMap::new(), actions: Vec::new() };
+        let inner = Inner { dispatcher, flows: HashMap::new(), actions: Vec::new(), version: 0 };
         Ok(Arc::new(Decisions { clock, on_request, inner: Mutex::new(inner), subscribe: Notify::new() }))
     }
 
@@ -119,9 +121,14 @@
         self.tell(Event::Gone(request));
     }
 
-    /// News from discovery.
-    pub fn roster(self: &Arc<Self>, kind: RosterKind, version: u64, entries: &[WorkerEntry]) {
-        self.tell(Event::Roster(Roster { kind, version, entries }));
+    /// News from discovery, whose order the table of entries has settled. Guards against revisions
+    /// that begin anew where discovery moves: the module hears of a version that only grows.
+    pub fn roster(self: &Arc<Self>, kind: RosterKind, entries: &[WorkerEntry]) {
+        self.with(|inner, now, actions| {
+            inner.version += 1;
+            let roster = Roster { kind, version: inner.version, entries };
+            inner.dispatcher.handle(now, Event::Roster(roster), actions);
+        });
     }
 
     /// Whether the roster comes only after a subscription.
--- a/src/net/service_entry.rs
+++ b/src/net/service_entry.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tinyjson::JsonValue;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::interface::*;
@@ -161,6 +162,11 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Another discovery is asked from now on, which may count its revisions in another way.
+    fn count_anew(&self) {
+        self.table().revision = 0;
+    }
+
     /// Takes a list into the table and returns its entries in the module's form, or nothing where
     /// the table already holds something newer.
     pub fn take(&self, list: &List) -> Option<Vec<WorkerEntry>> {
@@ -219,43 +225,65 @@
 pub fn remember(known: Option<&List>, entries: &ServiceEntries, decisions: &Arc<Decisions>) -> Option<u64> {
     let known = known?;
     let told = entries.take(known).unwrap_or_default();
-    decisions.roster(RosterKind::Remembered, known.revision, &told);
+    decisions.roster(RosterKind::Remembered, &told);
     Some(known.revision)
 }
 
+fn client() -> Client<HttpConnector, Empty<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_max_idle_per_host(1)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
 /// Follows discovery for good: one watch after the other. Where changes come only on request, each
-/// subscription that the module asks for lasts until the first call that fails.
+/// subscription that the module asks for lasts until the first call that fails. When discovery
+/// moves, the watch under way is dropped and the new address is asked for the whole list.
 pub async fn follow(
-    discovery: Authority,
+    mut discovery: watch::Receiver<Authority>,
     known: Option<u64>,
     entries: Arc<ServiceEntries>,
     decisions: Arc<Decisions>,
 ) {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    let client: Client<HttpConnector, Empty<Bytes>> = Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_max_idle_per_host(1)
-        .retry_canceled_requests(false)
-        .build(connector);
+    let mut client = client();
+    let mut address = discovery.borrow().clone();
     let mut revision = known;
     let mut wait = RETRY.0;
     if decisions.on_request() {
         decisions.subscription().await;
     }
     loop {
+        if *discovery.borrow() != address {
+            address = discovery.borrow().clone();
+            // Guards against a connection to the old address that stays until it is closed there.
+            client = self::client();
+            // Guards against a new list that passes for old, as its revisions count anew.
+            entries.count_anew();
+            revision = None;
+            wait = RETRY.0;
+        }
         let path = match revision {
             Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", HOLD / 1_000),
             None => "/api/targets".to_owned(),
         };
         // Guards against a discovery that is down and keeps its connections open in silence.
-        match call(&client, &discovery, &path, from_now(HOLD + SILENT)).await {
-            Ok(list) => {
+        let by = from_now(if revision.is_some() { HOLD + SILENT } else { SILENT });
+        let answered = tokio::select! {
+            biased;
+            Ok(()) = discovery.changed() => None,
+            answered = call(&client, &address, &path, by) => Some(answered),
+        };
+        match answered {
+            None => {}
+            Some(Ok(list)) => {
                 wait = RETRY.0;
                 let news = revision.is_none_or(|old| old != list.revision) || !list.members.is_empty();
                 let kind = if list.complete { RosterKind::Full } else { RosterKind::Changes };
                 if let Some(told) = entries.take(&list).filter(|_| news || list.complete) {
-                    decisions.roster(kind, list.revision, &told);
+                    decisions.roster(kind, &told);
                 }
                 // Guards against a list that is older than the table: asked for again at once, it
                 // would come again at once.
@@ -265,13 +293,15 @@
                     sleep_until(from_now(RETRY.0)).await;
                 }
             }
-            Err(why) => {
+            Some(Err(why)) => {
                 note("no answer of discovery, the list stays", &why);
                 if decisions.on_request() {
-                    decisions.roster(RosterKind::Failed, 0, &[]);
+                    decisions.roster(RosterKind::Failed, &[]);
                     decisions.subscription().await;
                 } else {
-                    sleep_until(from_now(wait)).await;
+                    // A discovery that moves is not waited out.
+                    let again = from_now(wait);
+                    let _ = timeout_at(again, discovery.changed()).await;
                     wait = (wait * 2).min(RETRY.1);
                 }
             }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -307,6 +307,50 @@
     assert_eq!(first.heard().await.expect("an answer").status(), 200);
 }
 
+// Guards against SIGHUP, which ends a process that does not heed it: the new discovery is followed
+// at once whatever its revisions, the old watch ends, and what cannot be used changes nothing.
+#[tokio::test]
+async fn sighup_follows_the_new_discovery_and_keeps_serving() {
+    let (mut one, mut two, mut other) = (Party::new().await, Party::new().await, Party::new().await);
+    let mut scheduler = Scheduler::start(&[one.address]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 90, 9000).await;
+    let taken = one.asked().await.accept();
+    let old_watch = scheduler.discovery.asked().await;
+    let moved = config(scheduler.address, other.address, &list(5, true, &[]));
+    for bad in ["", &moved.replace("pure", "perhaps")] {
+        let lines = scheduler.reload(bad).await;
+        assert!(lines.len() == 1 && lines[0].contains("the old configuration stays"), "{lines:?}");
+    }
+    let elsewhere =
+        moved.replace(&format!("\"listen\":\"{}\"", scheduler.address), "\"listen\":\"127.0.0.1:1\"");
+    assert_ne!(moved, elsewhere);
+    let lines = scheduler.reload(&elsewhere).await;
+    assert!(lines.len() == 2 && lines[0].ends_with("new start: listen"), "{lines:?}");
+    let whole = other.asked().await;
+    assert_eq!(whole.message.first, "GET /api/targets HTTP/1.1");
+    old_watch.closed().await;
+    whole.answer("200 OK", "", &list(2, true, &[member("r1", two.address, "SERVING")]));
+    assert!(other.asked().await.message.first.contains("from=2"));
+    // The job taken before ends, and the next one goes where the new discovery says.
+    scheduler.call_back(&taken, "r0", DONE).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    client.job("once", 91, 9000).await;
+    let id = two.asked().await.accept();
+    // Signals one after the other, and back to the first address.
+    let back = config(scheduler.address, scheduler.discovery.address, &list(5, true, &[]));
+    for content in [&moved, &back, &back] {
+        scheduler.reload(content).await;
+    }
+    assert_eq!(scheduler.discovery.asked().await.message.first, "GET /api/targets HTTP/1.1");
+    scheduler.terminate().await;
+    scheduler.signal("HUP").await;
+    scheduler.call_back(&id, "r1", DONE).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    assert!(scheduler.child.wait().await.expect("it ends").success());
+    assert!(one.idle());
+}
+
 #[test]
 fn a_bad_configuration_is_one_clear_line_and_a_failure() {
     let program = || std::process::Command::new(env!("CARGO_BIN_EXE_copperspread"));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::Stdio;
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
@@ -52,6 +53,10 @@
         let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
         let _ = self.reply.send(text);
     }
+    /// Waits until the scheduler has closed the connection.
+    pub async fn closed(mut self) {
+        self.reply.closed().await;
+    }
     /// The real server's 202; returns the job's id.
     pub fn accept(self) -> String {
         let id = self.message.headers["x-request-id"].clone();
@@ -81,7 +86,12 @@
                         if events.send(Asked { message, reply }).is_err() {
                             return;
                         }
-                        let Ok(answer) = answer.await else { return };
+                        let answer = tokio::select! {
+                            answer = answer => answer,
+                            // Nothing is sent before the answer: the scheduler closes.
+                            _ = stream.fill_buf() => return,
+                        };
+                        let Ok(answer) = answer else { return };
                         let _ = stream.write_all(answer.as_bytes()).await;
                     }
                 });
@@ -157,7 +167,14 @@
     pub address: SocketAddr,
     pub discovery: Party,
     pub child: Child,
-    _log: Lines<BufReader<ChildStderr>>,
+    path: PathBuf,
+    log: Lines<BufReader<ChildStderr>>,
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
 }
 
 impl Scheduler {
@@ -189,8 +206,7 @@
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
         let line = log.next_line().await.expect("a log").expect("a line");
         assert!(line.contains("serves on"), "{line}");
-        let _ = std::fs::remove_file(path);
-        Scheduler { address, discovery, child, _log: log }
+        Scheduler { address, discovery, child, path, log }
     }
     pub async fn client(&self) -> Client {
         Client::to(self.address).await
@@ -205,7 +221,21 @@
         self.client().await.ask(&text).await.status()
     }
     pub async fn terminate(&self) {
-        let kill = format!("kill {}", self.child.id().expect("it runs"));
+        self.signal("TERM").await;
+    }
+    /// Replaces the configuration and sends SIGHUP; returns the lines logged up to the one that
+    /// tells what came of it.
+    pub async fn reload(&mut self, content: &str) -> Vec<String> {
+        std::fs::write(&self.path, content).expect("a configuration");
+        self.signal("HUP").await;
+        let mut lines = Vec::new();
+        while lines.last().is_none_or(|line: &String| !line.contains("configuration")) {
+            lines.push(self.log.next_line().await.expect("a log").expect("a line"));
+        }
+        lines
+    }
+    pub async fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id().expect("it runs"));
         assert!(Command::new("sh").args(["-c", &kill]).status().await.expect("a shell").success());
     }
 }
