--- a/src/net/decisions.rs
+++ b/src/net/decisions.rs
@@ -1,6 +1,7 @@
 //! Holds the dispatcher, alone: hands it events, keeps its timers and brings its actions to the
 //! flows' mailboxes.
-use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::sync::{Notify, mpsc};
@@ -32,9 +33,33 @@
 /// The sending end of a flow's mailbox.
 pub type Mailbox = mpsc::UnboundedSender<Mail>;
 
+/// How many ids of ended flows are remembered at least; twice as many at most.
+const REMEMBERED: usize = 8_192;
+
+/// The ids of the flows that ended last.
+#[derive(Default)]
+struct Ended {
+    last: HashSet<RequestId>,
+    before: HashSet<RequestId>,
+}
+
+impl Ended {
+    fn insert(&mut self, request: RequestId) {
+        if self.last.len() >= REMEMBERED {
+            self.before = std::mem::take(&mut self.last);
+        }
+        self.last.insert(request);
+    }
+
+    fn contains(&self, request: RequestId) -> bool {
+        self.last.contains(&request) || self.before.contains(&request)
+    }
+}
+
 struct Inner {
     dispatcher: Dispatcher,
     flows: HashMap<RequestId, Mailbox>,
+    ended: Ended,
     actions: Vec<Action>,
     /// How many lists the module was told.
     version: u64,
@@ -53,7 +78,13 @@
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Arc<Decisions>, SettingsError> {
         let on_request = settings.discovery == Discovery::OnRequest;
         let dispatcher = Dispatcher::new(settings, seed)?;
-        let inner = Inner { dispatcher, flows: HashMap::new(), actions: Vec::new(), version: 0 };
+        let inner = Inner {
+            dispatcher,
+            flows: HashMap::new(),
+            ended: Ended::default(),
+            actions: Vec::new(),
+            version: 0,
+        };
         Ok(Arc::new(Decisions { clock, on_request, inner: Mutex::new(inner), subscribe: Notify::new() }))
     }
 
@@ -92,12 +123,17 @@
         inner.actions = actions;
     }
 
-    /// A flow begins; false if another one with its id has not ended.
+    /// A flow begins; false if another one had its id.
     pub fn job(self: &Arc<Self>, job: Job, mailbox: Mailbox) -> bool {
         let mut fresh = false;
         self.with(|inner, now, actions| {
-            // Guards against an id that comes twice: the module would not answer the second.
-            if let std::collections::hash_map::Entry::Vacant(place) = inner.flows.entry(job.request) {
+            // Guards against an id that comes twice: the module would not answer the second while the
+            // first is open. Afterwards the same would run again, and a client that asks anew as soon
+            // as it is turned away would be answered as fast as it can ask.
+            if inner.ended.contains(job.request) {
+                return;
+            }
+            if let Entry::Vacant(place) = inner.flows.entry(job.request) {
                 place.insert(mailbox);
                 fresh = true;
                 inner.dispatcher.handle(now, Event::Job(job), actions);
@@ -151,6 +187,7 @@
     pub fn ended(&self, request: RequestId) {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.flows.remove(&request);
+        inner.ended.insert(request);
     }
 
     /// How many flows have not ended.
--- /dev/null
+++ b/src/net/edge_connection.rs
@@ -0,0 +1,452 @@
+//! Edge connections: their places, the deadline of their first request, and their end. Guards the
+//! usual clients' places, memory and answers against clients that say nothing, stop half-way, send
+//! too much or frame a body in two ways.
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::Request;
+use axum::http::StatusCode;
+use axum::http::header::{self, HeaderValue};
+use axum::response::{IntoResponse, Response};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio_util::io::InspectReader;
+use tower_service::Service;
+
+use crate::interface::*;
+use crate::net::Node;
+use crate::net::clock::from_now;
+use crate::net::edge::{CALL_BACK_PATH, LONGEST_BODY, routes};
+use crate::net::invariant::note;
+
+/// The first whole request of an edge connection has come by then, or the connection ends. Apart from
+/// the limit between requests, so that it cuts no usual client, which sends as soon as it connects.
+const FIRST_WITHIN: Micros = 2 * SECOND;
+/// A later request's body has come this long after its head.
+const BODY_WITHIN: Micros = 2 * SECOND;
+/// An edge connection that sends no further request for this long is closed.
+const IDLE: Duration = Duration::from_secs(75);
+/// Most bytes buffered for one edge connection.
+const BUFFER: usize = 16 * 1024;
+/// Most bytes that one edge connection holds on to: its buffers, its task and a small body.
+const WEIGHT: usize = 2 * BUFFER;
+/// A body up to this size needs no room of its own.
+pub const SMALL_BODY: usize = 4 * 1024;
+/// The unit in which room for bodies is counted.
+const ROOM_UNIT: usize = 1024;
+/// Wait after an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Micros = 20_000;
+/// An edge connection younger than this does not lose its place: its request may be on its way.
+const GRACE: Micros = 20_000;
+/// One that is told to leave may still begin a request for so long.
+const NOTICE: Micros = 5_000;
+/// After the last answer on a connection that this side closes, what still comes is read and dropped
+/// for so long and so much, as a reset over unread data would take the answer from its reader.
+const LINGER: Micros = 2 * SECOND;
+const LINGER_MOST: u64 = 64 << 20;
+
+/// What a request may use up: time and memory for its body.
+#[derive(Clone)]
+pub struct Terms {
+    /// The body has come by then.
+    pub body_by: Instant,
+    room: Arc<Semaphore>,
+}
+
+/// Room that a body takes, until the last holder drops it; a small one takes none.
+pub type Room = Option<Arc<tokio::sync::OwnedSemaphorePermit>>;
+
+impl Terms {
+    /// Waits for the room of a body of at most so many bytes.
+    pub async fn room(&self, size: usize) -> Room {
+        if size <= SMALL_BODY {
+            return None;
+        }
+        let units = size.min(LONGEST_BODY).div_ceil(ROOM_UNIT) as u32;
+        Arc::clone(&self.room).acquire_many_owned(units).await.ok().map(Arc::new)
+    }
+}
+
+/// All edge connections of a node.
+pub struct Edge {
+    node: Arc<Node>,
+    router: Router,
+    places: Arc<Places>,
+    room: Arc<Semaphore>,
+    /// Requests that are being read or answered, and those of clients among them.
+    busy: AtomicUsize,
+    jobs: AtomicUsize,
+}
+
+impl Edge {
+    /// The edge of a node within its limits.
+    pub fn new(node: Arc<Node>, sockets: usize, memory_mb: f64) -> Arc<Edge> {
+        let router = routes(Arc::clone(&node));
+        let places = Places::new(places(sockets, memory_mb));
+        // A quarter of the memory, and one body in any case.
+        let room = ((memory_mb * 1e6 / 4.0) as usize).max(LONGEST_BODY) / ROOM_UNIT;
+        let room = Arc::new(Semaphore::new(room.min(Semaphore::MAX_PERMITS)));
+        let (busy, jobs) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        Arc::new(Edge { node, router, places, room, busy, jobs })
+    }
+
+    /// Requests that are being read or answered.
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
+    }
+
+    /// Clients' requests fill all places but the last, which are kept for call-backs.
+    fn crowded(&self) -> bool {
+        self.jobs.load(Ordering::Relaxed) > self.places.most - self.places.most / 8
+    }
+
+    /// Takes edge connections for good.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let place = Arc::new(self.places.take().await);
+                    let edge = Arc::clone(&self);
+                    tokio::spawn(async move { edge.serve(stream, place).await });
+                }
+                Err(error) if of_one_connection(&error) => {}
+                // Guards against an end, or a busy loop, when descriptors run out.
+                Err(error) => {
+                    note("no connection taken", &error.to_string());
+                    sleep_until(from_now(ACCEPT_PAUSE)).await;
+                }
+            }
+        }
+    }
+
+    /// Serves one edge connection until either side closes it.
+    async fn serve(self: &Arc<Self>, stream: TcpStream, place: Arc<Place>) {
+        let _ = stream.set_nodelay(true);
+        let whole_by = from_now(FIRST_WITHIN);
+        let used = Arc::new(AtomicBool::new(false));
+        let raw = Arc::new(RawHead::default());
+        let seen = Arc::clone(&raw);
+        let stream = InspectReader::new(stream, move |bytes: &[u8]| seen.add(bytes));
+        let (edge, mine) = (Arc::clone(self), (Arc::clone(&used), Arc::clone(&place)));
+        let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+            let (edge, raw, (used, place)) = (Arc::clone(&edge), Arc::clone(&raw), mine.clone());
+            let body_by = if place.is(State::New) { whole_by } else { from_now(BODY_WITHIN) };
+            Box::pin(async move {
+                place.becomes(State::Serving);
+                used.store(request.uri().path() != CALL_BACK_PATH, Ordering::Relaxed);
+                let head = raw.take();
+                let response = edge.answer(request.map(Body::new), &head, body_by).await;
+                raw.begin();
+                place.becomes(State::Idle);
+                Ok::<_, Infallible>(response)
+            })
+        });
+        let mut connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE)
+            .max_buf_size(BUFFER)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut ending = self.node.ending.watch();
+        let mut old = !self.node.ending.begun();
+        let mut late = false;
+        let mut leaves: Option<Instant> = None;
+        loop {
+            tokio::select! {
+                biased;
+                // Not shut down at once: what its peer still sends is read first.
+                _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break,
+                // A client's connection closes once it is idle, so that its next request goes to
+                // another scheduler. One that has sent nothing yet stays: its first request may be on
+                // its way. So does a real server's, for its call-backs.
+                _ = ending.changed(), if old => {
+                    old = false;
+                    if used.load(Ordering::Relaxed) {
+                        Pin::new(&mut connection).graceful_shutdown();
+                    }
+                }
+                // Guards against clients that connect and say nothing, or begin and do not end.
+                () = sleep_until(whole_by), if !late => {
+                    late = true;
+                    if place.is(State::New) {
+                        return note("no first request in time", "closed");
+                    }
+                }
+                () = place.leave.notified(), if leaves.is_none() => leaves = Some(from_now(NOTICE)),
+                () = sleep_until(leaves.unwrap_or(whole_by)), if leaves.is_some() => {
+                    leaves = None;
+                    if place.is(State::Leaving) {
+                        return note("an edge connection gave its place up", "closed");
+                    }
+                }
+            }
+        }
+        let stream = connection.into_parts().io.into_inner().into_inner();
+        place.becomes(State::Closing);
+        tokio::select! {
+            () = linger(stream) => {}
+            () = place.leave.notified() => {}
+        }
+    }
+
+    /// One request's answer, and whether the connection stays.
+    async fn answer(&self, mut request: Request, head: &[u8], body_by: Instant) -> Response {
+        let _busy = Busy::new(&self.busy);
+        let of_client = request.uri().path() != CALL_BACK_PATH;
+        let _job = of_client.then(|| Busy::new(&self.jobs));
+        let mut response = if framed_twice(head, request.headers()) {
+            note("bad request", "a body framed in two ways");
+            StatusCode::BAD_REQUEST.into_response()
+        } else if of_client && self.crowded() {
+            // Guards against clients that fill all places and shut the call-backs out on which their
+            // answers wait. Not a refusal: those are the module's.
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        } else {
+            request.extensions_mut().insert(Terms { body_by, room: Arc::clone(&self.room) });
+            match self.router.clone().call(request).await {
+                Ok(response) => response,
+                Err(never) => match never {},
+            }
+        };
+        // Guards against clients that ask what cannot be and keep their place.
+        if self.node.ending.begun() || response.status().is_client_error() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Closes a connection whose answer may still be on its way to its reader.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_ok() {
+        let mut rest = stream.take(LINGER_MOST);
+        let _ = timeout_at(from_now(LINGER), tokio::io::copy(&mut rest, &mut tokio::io::sink())).await;
+    }
+}
+
+/// The bytes of a head as they came. The library drops a `Content-Length` that stands beside a
+/// `Transfer-Encoding` before anyone else sees the two.
+#[derive(Default)]
+struct RawHead(Mutex<(bool, Vec<u8>)>);
+
+impl RawHead {
+    fn inner(&self) -> MutexGuard<'_, (bool, Vec<u8>)> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn add(&self, bytes: &[u8]) {
+        let (full, head) = &mut *self.inner();
+        if !*full && head.len() <= BUFFER {
+            head.extend_from_slice(bytes);
+        }
+    }
+
+    /// What came since the last answer; from here on it is a body.
+    fn take(&self) -> Vec<u8> {
+        let mut inner = self.inner();
+        inner.0 = true;
+        std::mem::take(&mut inner.1)
+    }
+
+    fn begin(&self) {
+        self.inner().0 = false;
+    }
+}
+
+/// Whether a request's body may be framed in two ways, one of which may hide another request. Where
+/// the head did not come in one piece after the last answer, lines are missing: that counts as well.
+fn framed_twice(head: &[u8], headers: &hyper::HeaderMap) -> bool {
+    if !headers.contains_key(header::TRANSFER_ENCODING) {
+        return false;
+    }
+    let mut lines = head.split(|&byte| byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let mut fields = 0;
+    // Empty lines may come before the first one.
+    lines.by_ref().find(|line| !line.is_empty());
+    for line in lines.take_while(|line| !line.is_empty()) {
+        let name = line.split(|&byte| byte == b':').next().unwrap_or_default();
+        if name.trim_ascii().eq_ignore_ascii_case(b"content-length") {
+            return true;
+        }
+        fields += 1;
+    }
+    fields != headers.len()
+}
+
+/// How many edge connections fit: a quarter of the descriptors is kept for real servers, discovery
+/// and files, and half of the memory for larger bodies and all else.
+fn places(sockets: usize, memory_mb: f64) -> usize {
+    let by_sockets = (sockets - sockets / 4).saturating_sub(16);
+    let by_memory = (memory_mb * 1e6 / 2.0) as usize / WEIGHT;
+    by_sockets.min(by_memory).max(8)
+}
+
+/// What an edge connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Its first request has not come.
+    New,
+    /// A request is read or answered.
+    Serving,
+    /// It stands between requests.
+    Idle,
+    /// It was told to leave and has not begun a request since.
+    Leaving,
+    /// It has had its last answer.
+    Closing,
+}
+
+struct Seat {
+    state: State,
+    since: Instant,
+    leave: Arc<Notify>,
+}
+
+/// The places of edge connections, by the order in which they came.
+struct Places {
+    most: usize,
+    seats: Mutex<(u64, BTreeMap<u64, Seat>)>,
+    freed: Notify,
+}
+
+impl Places {
+    fn new(most: usize) -> Arc<Places> {
+        Arc::new(Places { most, seats: Mutex::default(), freed: Notify::new() })
+    }
+
+    fn seats(&self) -> MutexGuard<'_, (u64, BTreeMap<u64, Seat>)> {
+        self.seats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for a place. When few are left, those leave that use theirs least, so that clients which
+    /// come by the hundred and say nothing wait for each other and not the usual ones for them.
+    async fn take(self: &Arc<Self>) -> Place {
+        loop {
+            {
+                let (last, seats) = &mut *self.seats();
+                let leaving = seats.values().filter(|seat| seat.state == State::Leaving).count();
+                let taken = seats.len() - leaving;
+                let want = (taken + 1 + self.most / 8).saturating_sub(self.most);
+                for _ in 0..want {
+                    if !tell_one_to_leave(seats) {
+                        break;
+                    }
+                }
+                if seats.len() < self.most {
+                    *last += 1;
+                    let leave = Arc::new(Notify::new());
+                    let seat = Seat { state: State::New, since: Instant::now(), leave: Arc::clone(&leave) };
+                    seats.insert(*last, seat);
+                    return Place { places: Arc::clone(self), number: *last, leave };
+                }
+            }
+            let _ = timeout_at(from_now(NOTICE), self.freed.notified()).await;
+        }
+    }
+}
+
+/// Those that have said nothing, or have nothing more to hear, leave first, then those that stand
+/// between requests; each time the one that has done so for longest.
+fn tell_one_to_leave(seats: &mut BTreeMap<u64, Seat>) -> bool {
+    let grace = Duration::from_micros(GRACE);
+    let useless = |seat: &Seat| matches!(seat.state, State::New | State::Closing);
+    let of_use = seats.values().all(|seat| !useless(seat));
+    let candidates = seats.values_mut().filter(|seat| seat.since.elapsed() >= grace);
+    let mut candidates = candidates.filter(|seat| useless(seat) || (of_use && seat.state == State::Idle));
+    let Some(first) = candidates.next() else { return false };
+    let longest =
+        candidates.fold(first, |longest, seat| if seat.since < longest.since { seat } else { longest });
+    longest.state = State::Leaving;
+    longest.leave.notify_one();
+    true
+}
+
+/// One edge connection's place.
+struct Place {
+    places: Arc<Places>,
+    number: u64,
+    leave: Arc<Notify>,
+}
+
+impl Place {
+    fn becomes(&self, state: State) {
+        if let Some(seat) = self.places.seats().1.get_mut(&self.number) {
+            (seat.state, seat.since) = (state, Instant::now());
+        }
+    }
+
+    fn is(&self, state: State) -> bool {
+        self.places.seats().1.get(&self.number).is_some_and(|seat| seat.state == state)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.seats().1.remove(&self.number);
+        self.places.freed.notify_one();
+    }
+}
+
+struct Busy<'a>(&'a AtomicUsize);
+
+impl Busy<'_> {
+    fn new(count: &AtomicUsize) -> Busy<'_> {
+        count.fetch_add(1, Ordering::Relaxed);
+        Busy(count)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn of_one_connection(error: &io::Error) -> bool {
+    use io::ErrorKind::*;
+    matches!(error.kind(), ConnectionAborted | ConnectionRefused | ConnectionReset | Interrupted)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn edge_connections_fit_within_the_limits() {
+        assert_eq!(places(1024, 2048.0), 752);
+        assert_eq!(places(1024, 32.0), 488, "memory binds before descriptors");
+        assert_eq!(places(256, 32.0), 176);
+        assert_eq!(places(64, 192.0), 32);
+        assert_eq!(places(0, 0.0), 8, "a few in any case");
+    }
+
+    // Guards against a head of which only the end was seen, and which hides the other length there.
+    #[test]
+    fn a_body_framed_in_two_ways_is_told_from_one_in_chunks() {
+        let headers: hyper::HeaderMap = [("host", "s"), ("transfer-encoding", "chunked")]
+            .into_iter()
+            .map(|(n, v)| (n.parse().expect("a name"), v.parse().expect("a value")))
+            .collect();
+        let framed = |head: &str| framed_twice(head.as_bytes(), &headers);
+        assert!(!framed(
+            "\r\nPOST / HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\nContent-Length: 1"
+        ));
+        assert!(framed(
+            "POST / HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\ncontent-LENGTH: 1\r\n\r\n"
+        ));
+        assert!(framed("POST / HTTP/1.1\nContent-Length: 1\nHost: s\nTransfer-Encoding: chunked\n\n"));
+        assert!(framed("ost: s\r\nTransfer-Encoding: chunked\r\n\r\n"), "the start was not seen");
+        assert!(!framed_twice(b"", &hyper::HeaderMap::new()));
+    }
+}
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -26,7 +26,7 @@
     },
     /// Failed, with nothing promised.
     Failed,
-    /// Another flow with this id has not ended.
+    /// Another flow had this id.
     Repeated,
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod decisions;
 pub mod edge;
+pub mod edge_connection;
 pub mod flow;
 pub mod invariant;
 pub mod real_server;
--- a/src/net/real_server.rs
+++ b/src/net/real_server.rs
@@ -17,6 +17,7 @@
 use crate::interface::*;
 use crate::json::{self, field, need, number, text};
 use crate::net::clock::from_now;
+use crate::net::edge_connection::Room;
 use crate::net::service_entry::ServiceEntries;
 use crate::settings::NodeSettings;
 
@@ -150,6 +151,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// The room that the body takes.
+    pub room: Room,
 }
 
 /// How long an idle connection is kept here, when the real servers keep theirs for so long.
