--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -150,9 +150,10 @@
     if head.method != Method::POST {
         return (StatusCode::METHOD_NOT_ALLOWED, [(header::ALLOW, "POST")]).into_response();
     }
+    let effect = node.settings.effects[class];
     let demanded = read_head(&head.headers, class as u32).and_then(|read| {
         // Guards against a keyed job that no real server can tell from another.
-        let keyless = node.settings.keyed[class] && !head.headers.contains_key("idempotency-key");
+        let keyless = matches!(effect, Effect::Keyed { .. }) && !head.headers.contains_key("idempotency-key");
         if keyless { Err("no Idempotency-Key".into()) } else { Ok(read) }
     });
     let Ok((job, id)) = demanded.map_err(|why| note("bad request", &why)) else {
@@ -167,7 +168,7 @@
     let Some(path) = head.uri.path_and_query().cloned() else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    let order = Order { id, path, headers: passed_on(head.headers), body, room };
+    let order = Order { id, path, headers: passed_on(head.headers), effect, body, room };
     let mut held = flow::begin(&node, Demand { job, deadline, order });
     answer(&node, held.answer().await)
 }
--- a/src/net/real_server.rs
+++ b/src/net/real_server.rs
@@ -1,14 +1,18 @@
 //! The way to the real servers: handing over and giving up schedulings, their call-backs and what
 //! each answer means.
+use std::collections::HashMap;
 use std::error::Error as _;
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::http::Extensions;
 use hyper::http::uri::{Authority, PathAndQuery, Uri};
 use hyper::{HeaderMap, Method, Request, StatusCode};
-use hyper_util::client::legacy::{Client, Error, connect::HttpConnector};
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, HttpInfo, capture_connection};
+use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tinyjson::JsonValue;
 use tokio::sync::Semaphore;
@@ -18,6 +22,7 @@
 use crate::json::{self, field, need, number, text};
 use crate::net::clock::from_now;
 use crate::net::edge_connection::Room;
+use crate::net::invariant::note;
 use crate::net::service_entry::ServiceEntries;
 use crate::settings::NodeSettings;
 
@@ -29,6 +34,11 @@
 const KEEP_MARGIN: Micros = 300_000;
 /// Most idle connections kept to one real server.
 const IDLE_MOST: usize = 8;
+/// Kept connections are doubted for this long after one broke under the request that it was used for
+/// again: long enough for the jobs that may be repeated to show whether it still happens.
+const DOUBT: Micros = 10 * SECOND;
+/// Connections whose last use is remembered before old ones are forgotten.
+const USED_MOST: usize = 256;
 /// A word of giving up that has not been answered by then is let go.
 const GIVE_UP_WITHIN: Micros = 2 * SECOND;
 
@@ -149,6 +159,8 @@
     pub path: PathAndQuery,
     /// The headers that pass on.
     pub headers: HeaderMap,
+    /// What may be repeated of the job.
+    pub effect: Effect,
     /// The body.
     pub body: Bytes,
     /// The room that the body takes.
@@ -160,9 +172,26 @@
     ((keepalive as f64 * KEEP_SHARE) as Micros).min(keepalive.saturating_sub(KEEP_MARGIN))
 }
 
+/// What is known of kept connections: who used them last, and whether they can be relied on.
+struct Kept {
+    used: HashMap<SocketAddr, Instant>,
+    doubted_until: Option<Instant>,
+}
+
+/// The local address of the connection that a request went out on, which names the connection.
+fn local_address(connection: &CaptureConnection) -> Option<SocketAddr> {
+    let mut extras = Extensions::new();
+    connection.connection_metadata().as_ref()?.get_extras(&mut extras);
+    extras.get().map(HttpInfo::local_addr)
+}
+
 /// The client's side of all real servers.
 pub struct RealServers {
     client: Client<HttpConnector, Full<Bytes>>,
+    /// Opens a connection for each request.
+    anew: Client<HttpConnector, Full<Bytes>>,
+    kept: Mutex<Kept>,
+    keepalive: Duration,
     entries: Arc<ServiceEntries>,
     /// Hand-overs that may be under way at once: an eighth of the descriptors.
     places: Semaphore,
@@ -174,15 +203,50 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_micros(settings.connect_within)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            // Guards against a request written to a connection that the real server is closing.
-            .pool_idle_timeout(Duration::from_micros(kept_idle(settings.keepalive)))
-            .pool_max_idle_per_host(IDLE_MOST)
-            // Guards against a second copy that nobody decided: the library never resends.
-            .retry_canceled_requests(false)
-            .build(connector);
-        RealServers { client, entries, places: Semaphore::new((sockets / 8).max(4)) }
+        let client = |most_idle| {
+            Client::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                // Guards against a request written to a connection that the real server is closing.
+                .pool_idle_timeout(Duration::from_micros(kept_idle(settings.keepalive)))
+                .pool_max_idle_per_host(most_idle)
+                // Guards against a second copy that nobody decided: the library never resends.
+                .retry_canceled_requests(false)
+                .build(connector.clone())
+        };
+        RealServers {
+            client: client(IDLE_MOST),
+            anew: client(0),
+            kept: Mutex::new(Kept { used: HashMap::new(), doubted_until: None }),
+            keepalive: Duration::from_micros(settings.keepalive),
+            entries,
+            places: Semaphore::new((sockets / 8).max(4)),
+        }
+    }
+
+    /// The client for a job. Guards against kept connections that have died unseen and break under
+    /// the next request, after which a job that must run once may not go on: while they are doubted,
+    /// such a job gets a connection of its own.
+    fn client_for(&self, order: &Order) -> &Client<HttpConnector, Full<Bytes>> {
+        let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let doubted = kept.doubted_until.is_some_and(|until| Instant::now() < until);
+        if doubted && order.effect == Effect::Unsafe { &self.anew } else { &self.client }
+    }
+
+    /// A connection has carried a request, which ended well or in a break.
+    fn carried(&self, connection: &CaptureConnection, well: bool) {
+        let Some(address) = local_address(connection) else { return };
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let again = kept.used.remove(&address).is_some();
+        if well {
+            if kept.used.len() >= USED_MOST {
+                kept.used.retain(|_, used| now.duration_since(*used) < self.keepalive);
+            }
+            kept.used.insert(address, now);
+        } else if again {
+            kept.doubted_until = Some(now + Duration::from_micros(DOUBT));
+            note("a kept connection broke under its next request", "jobs that run once get new ones");
+        }
     }
 
     /// Hands a scheduling over; returns once the real server has taken it, or how it ended.
@@ -208,15 +272,20 @@
         if let Ok(value) = format!("{left}m").parse() {
             request.headers_mut().insert("x-timeout", value);
         }
-        let response = match self.client.request(request).await {
+        let connection = capture_connection(&mut request);
+        let response = match self.client_for(order).request(request).await {
             Ok(response) => response,
-            Err(error) => return Err((broken(&error), None)),
+            Err(error) => {
+                self.carried(&connection, false);
+                return Err((broken(&error), None));
+            }
         };
         let (head, body) = response.into_parts();
         let report = head.headers.get("x-server-load").and_then(|value| value.to_str().ok());
         let report = report.and_then(load_header);
         // Read to the end, so that the connection can carry the next request.
         let _ = Limited::new(body, LONGEST_BODY).collect().await;
+        self.carried(&connection, true);
         read_answer(head.status, &head.headers).map_or(Ok(()), |outcome| Err((outcome, report)))
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,8 +19,8 @@
 pub struct NodeSettings {
     /// The classes' names, by index.
     pub classes: Vec<String>,
-    /// Whether a class's jobs carry a key, by index.
-    pub keyed: Vec<bool>,
+    /// What may be repeated of the classes' jobs, by index.
+    pub effects: Vec<Effect>,
     /// The tenants' names, by index.
     pub tenants: Vec<String>,
     /// The zones' names, by index.
@@ -62,7 +62,7 @@
     for tenant in list(params, "tenants")? {
         tenants.push(Tenant { allowance_per_s: number(tenant, "allowance_per_s")?.unwrap_or(0.0) });
     }
-    let keyed = classes.iter().map(|class| matches!(class.effect, Effect::Keyed { .. })).collect();
+    let effects = classes.iter().map(|class| class.effect).collect();
     let decisions = Settings {
         fleet_size: need(whole(params, "fleet_size"), "fleet_size")?,
         zone: whole(params, "zone")?.unwrap_or(0),
@@ -88,7 +88,7 @@
     };
     let node = NodeSettings {
         classes: names(list(params, "classes")?),
-        keyed,
+        effects,
         tenants: names(list(params, "tenants")?),
         zones: names(list(params, "zones")?),
         kinds: names(list(params, "kinds")?),
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -106,6 +106,31 @@
     }
 }
 
+// Guards against kept connections that break under the next request: once one has, a job that must run
+// once goes out on a connection of its own.
+#[tokio::test]
+async fn a_job_that_runs_once_shuns_kept_connections_that_broke() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    let mut connections = Vec::new();
+    for (id, class) in [(140, "once"), (141, "once"), (142, "safe"), (143, "once"), (144, "once")] {
+        client.job(class, id, 9000).await;
+        let asked = server.asked().await;
+        connections.push(asked.from);
+        if class == "safe" {
+            drop(asked);
+            assert_eq!(client.heard().await.expect("an answer").status(), 503);
+            continue;
+        }
+        let id = asked.accept();
+        scheduler.call_back(&id, "r0", DONE).await;
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+    assert_eq!(connections[..2], [connections[2]; 2], "one connection is kept");
+    assert_ne!(connections[3], connections[4], "each has its own: {connections:?}");
+}
+
 #[tokio::test]
 async fn a_safe_job_goes_on_after_a_reset() {
     let (mut one, mut two) = (Party::new().await, Party::new().await);
@@ -264,6 +289,7 @@
         id: String::new(),
         path: "/once/k".parse().expect("a path"),
         headers,
+        effect: copperspread::Effect::Safe,
         body,
         room: None,
     };
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -44,6 +44,8 @@
 /// A request that reached a party, to be answered; dropped, its connection closes.
 pub struct Asked {
     pub message: Message,
+    /// The other end of its connection.
+    pub from: SocketAddr,
     reply: oneshot::Sender<String>,
 }
 
@@ -77,13 +79,13 @@
         let address = listener.local_addr().expect("an address");
         let (events, asked) = mpsc::unbounded_channel();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, from)) = listener.accept().await {
                 let events = events.clone();
                 tokio::spawn(async move {
                     let mut stream = BufReader::new(stream);
                     while let Some(message) = read(&mut stream).await {
                         let (reply, answer) = oneshot::channel();
-                        if events.send(Asked { message, reply }).is_err() {
+                        if events.send(Asked { message, from, reply }).is_err() {
                             return;
                         }
                         let answer = tokio::select! {
