--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,6 +95,10 @@
 const FAULT_HALF: f64 = 5.0;
 /// Highest share of failures used: keeps the estimate finite, so that re-tries stay possible.
 const FAULT_CAP: f64 = 0.9;
+/// Weight of one try in the share of those that come when their whole aim seems spent.
+const SHORT_GAIN: f64 = 0.1;
+/// Most of all tries that can be repeats of so late; beyond it, clients wait less long than they might.
+const SHORT_MOST: f64 = 0.25;
 /// Part of `ask_within` by which the first subscription is made: early, but spread out so that
 /// restarted dispatchers do not stampede discovery.
 const SUBSCRIBE_SPREAD: f64 = 0.5;
@@ -259,6 +263,8 @@
     class_time: Vec<Rate>,
     /// For each class, the longest time left that a request came with.
     longest_try: Vec<Micros>,
+    /// Share of tries that come when their whole aim seems spent.
+    short: f64,
 }
 
 /// Seconds of a span.
@@ -332,6 +338,7 @@
             failed_calls: 0,
             class_time,
             longest_try,
+            short: 0.0,
         })
     }
 
@@ -757,10 +764,17 @@
         *longest = (*longest).max(job.time_left);
         let first_try = job.time_left >= *longest - *longest / 1000;
         let spent = if first_try { 0 } else { settings.deadline.saturating_sub(job.time_left) };
+        let work = hint.unwrap_or_else(|| self.class_time[class].log_mean.exp());
+        let wanted = secs(settings.aim) + settings.stretch * work / self.fleet.rate.log_mean.exp();
+        // Guards against many clients that wait less long than their class allows: taken for time
+        // spent before, the rest would leave none of the aim, and all of them would be refused.
+        let short = secs(spent) >= wanted;
+        self.short += (f64::from(short) - self.short) * SHORT_GAIN;
+        let spent = if short && self.short > SHORT_MOST { 0 } else { spent };
         let mut request = Request {
             class,
             slots: sane(job.slots, MAX_UNITS).unwrap_or(1.0),
-            work: hint.unwrap_or_else(|| self.class_time[class].log_mean.exp()),
+            work,
             hinted: hint.is_some(),
             aim_at: now.saturating_add(settings.aim).saturating_sub(spent),
             deadline: now.saturating_add(job.time_left),
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -75,6 +75,28 @@
     assert!(node.sent().is_some(), "the first of its class sets what a first try has left");
 }
 
+// Guards against taking impatient clients for late repeats: a few are repeats, a flood of them is not.
+#[test]
+fn many_short_tries_are_impatient_clients() {
+    let mut node = taught();
+    node.job(1, 0.2);
+    let mut sent = Vec::new();
+    for i in 2..22 {
+        node.handle(Event::Job(Job { time_left: 2 * SECOND, ..job(i, 0.2) }));
+        sent.push(node.sent().is_some());
+        if node.sent().is_some() {
+            node.outcome(i, 0, Outcome::Served);
+        }
+    }
+    assert!(!sent[0] && sent[5..].iter().all(|&sent| sent), "{sent:?}");
+    for i in 30..60 {
+        node.job(i, 0.2);
+        node.outcome(i, 0, Outcome::Served);
+    }
+    node.handle(Event::Job(Job { time_left: 2 * SECOND, ..job(60, 0.2) }));
+    assert!(node.refused(), "among usual ones it is a repeat again");
+}
+
 #[test]
 fn ties_are_broken_at_random() {
     let entries: Vec<_> = (0..8).map(entry).collect();
