--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,6 +95,11 @@
 const MAX_UNITS: f64 = 1e4;
 /// Weight of one outcome in a worker's share of failures.
 const FAULT_GAIN: f64 = 0.2;
+/// ... and in its share of failures of one class, of which a few must tell: each costs its whole job.
+const CLASS_FAULT_GAIN: f64 = 0.3;
+/// A job that has been out for this many times its estimate, and for this long, counts as a failure.
+const OVERDUE_TIMES: f64 = 4.0;
+const OVERDUE_LEAST: f64 = 0.5;
 /// A worker's share of failures halves in this time without news, so that it is tried again.
 const FAULT_HALF: f64 = 5.0;
 /// Highest share of failures used: keeps the estimate finite, so that re-tries stay possible.
@@ -187,6 +192,8 @@
     /// Work a second of one job alone on one slot, as used in estimates.
     service_rate: f64,
     faults: f64,
+    /// The same of each class.
+    class_faults: Vec<f64>,
     /// Slots of the other dispatchers' jobs here by the last report, and when it came.
     others: f64,
     others_at: Option<Micros>,
@@ -205,6 +212,9 @@
     mark: Option<(Micros, f64)>,
     out: bool,
     never_ran: bool,
+    /// How long it was to take, in seconds, and whether it has been out for far longer.
+    estimate: f64,
+    overdue: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -454,6 +464,7 @@
                 rate: Rate::default(),
                 service_rate: 0.0,
                 faults: 0.0,
+                class_faults: vec![0.0; self.settings.classes.len()],
                 others: 0.0,
                 others_at: None,
                 cold_sent: 0.0,
@@ -465,6 +476,7 @@
             // A new or restarted process: what was learned of the old one no longer holds.
             worker.rate = Rate::default();
             worker.faults = 0.0;
+            worker.class_faults.fill(0.0);
             worker.others_at = None;
         }
         worker.state = entry.state;
@@ -569,22 +581,45 @@
         if index >= self.workers.len() {
             return;
         }
-        self.learn_fault(index, outcome);
+        self.learn_fault(index, None, outcome);
         if let Some(report) = report {
             let own_slots = self.workers[index].own_slots;
             self.on_report(now, index, &report, own_slots, false);
         }
     }
 
-    /// Errors, resets, failed connects and time-outs lower the trust in a worker, service restores it.
-    fn learn_fault(&mut self, index: usize, outcome: Outcome) {
+    /// Errors, resets, failed connects and time-outs lower the trust in a worker, service restores it;
+    /// the same for each class there. Guards against workers that serve all classes but one.
+    fn learn_fault(&mut self, index: usize, class: Option<usize>, outcome: Outcome) {
         let worker = &mut self.workers[index];
-        match outcome {
-            Outcome::Served => worker.faults -= worker.faults * FAULT_GAIN,
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => {
-                worker.faults += (1.0 - worker.faults) * FAULT_GAIN;
+        let failed = match outcome {
+            Outcome::Served => 0.0,
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => 1.0,
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot => return,
+        };
+        worker.faults += (failed - worker.faults) * FAULT_GAIN;
+        if let Some(faults) = class.and_then(|class| worker.class_faults.get_mut(class)) {
+            *faults += (failed - *faults) * CLASS_FAULT_GAIN;
+        }
+    }
+
+    /// Jobs that have been out for far longer than estimated count as failures of their class there
+    /// before they end.
+    /// Guards against workers that take jobs and fall silent: their end tells only at the deadline.
+    fn learn_overdue(&mut self, now: Micros) {
+        let mut found = Vec::new();
+        for request in self.requests.values_mut() {
+            for attempt in request.attempts.iter_mut().filter(|a| a.out && !a.overdue) {
+                let out = secs(now.saturating_sub(attempt.sent_at));
+                attempt.overdue = out > (OVERDUE_TIMES * attempt.estimate).max(OVERDUE_LEAST);
+                if attempt.overdue {
+                    found.push((attempt.worker as usize, request.class));
+                }
             }
-            Outcome::Full | Outcome::Cancelled | Outcome::Moot => {}
+        }
+        for (index, class) in found {
+            let faults = &mut self.workers[index].class_faults[class];
+            *faults += (1.0 - *faults) * CLASS_FAULT_GAIN;
         }
     }
 
@@ -611,9 +646,11 @@
     }
 
     fn on_sweep(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        self.learn_overdue(now);
         let fade = 0.5_f64.powf(secs(SWEEP) / FAULT_HALF);
         for index in 0..self.workers.len() {
             self.workers[index].faults *= fade;
+            self.workers[index].class_faults.iter_mut().for_each(|faults| *faults *= fade);
             self.refresh_rate(now, index);
         }
         actions.push(Action::Wake { after: SWEEP, timer: Timer::Sweep });
@@ -636,9 +673,10 @@
     /// The share of attempts at a worker that end in an answer. The ranking divides by it: guards
     /// against errors that come fast and look like speed, and against spending a request's few
     /// attempts on a kind that is full.
-    fn answers(&self, worker: &Worker) -> f64 {
+    fn answers(&self, worker: &Worker, class: usize) -> f64 {
         let kind = &self.kinds[worker.kind as usize];
-        (1.0 - worker.faults.min(FAULT_CAP)) * (1.0 - kind.full.min(FAULT_CAP))
+        let faults = worker.class_faults.get(class).map_or(worker.faults, |&own| own.max(worker.faults));
+        (1.0 - faults.min(FAULT_CAP)) * (1.0 - kind.full.min(FAULT_CAP))
     }
 
     /// Time left at a worker until the aim, which grows with the job's own time there.
@@ -688,7 +726,7 @@
             seen += 1;
             let (estimate, weighed) = self.estimate(now, worker, job);
             let crossing = if worker.zone == self.settings.zone { 0.0 } else { crossing };
-            let rank = (weighed + crossing) / self.answers(worker);
+            let rank = (weighed + crossing) / self.answers(worker, job.class);
             let beats = match best {
                 None => !rank.is_nan(),
                 Some((_, lowest, _)) => rank <= lowest,
@@ -845,6 +883,7 @@
     ) {
         let cold = self.is_cold(now, index);
         let slots = self.slots_of(&self.workers[index]);
+        let (estimate, _) = self.estimate(now, &self.workers[index], request);
         let window = secs(self.settings.fall_window.max(1));
         let worker = &mut self.workers[index];
         worker.own_slots += request.slots;
@@ -861,6 +900,8 @@
             mark: None,
             out: true,
             never_ran: false,
+            estimate,
+            overdue: false,
         });
         actions.push(Action::Send { request: id, worker: WorkerId(index as u32) });
         if self.settings.tells_start && self.may_copy(now, request) {
@@ -975,7 +1016,9 @@
         let worker = &mut self.workers[index];
         worker.own_jobs = worker.own_jobs.saturating_sub(1);
         worker.own_slots = if worker.own_jobs == 0 { 0.0 } else { (worker.own_slots - job.slots).max(0.0) };
-        self.learn_fault(index, end.outcome);
+        if !(attempt.overdue && end.outcome == Outcome::TimedOut) {
+            self.learn_fault(index, Some(job.class), end.outcome);
+        }
         if end.outcome == Outcome::Served {
             let took = secs(end.elapsed.max(SHORTEST_JOB));
             self.job_time += (took - self.job_time) * POOL_GAIN;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -168,3 +168,36 @@
     let sends = drive(&mut node, 100..140, slow);
     assert!(sends[2] + sends[3] > 30, "{sends:?}");
 }
+
+// Guards against workers that take the jobs of one class and fall silent: it shows before the deadline,
+// and only that class goes elsewhere.
+#[test]
+fn a_class_that_falls_silent_at_a_worker_goes_elsewhere() {
+    let classes = vec![class(Effect::Unsafe), class(Effect::Unsafe)];
+    let entries = [entry(0), entry(1)];
+    let mut node = Node::new(Settings { classes, ..settings(Effect::Unsafe) }, &entries);
+    let mut hits = [[0; 2]; 2];
+    let mut silent = std::collections::VecDeque::new();
+    for request in 0..300 {
+        let class = (request % 2) as u32;
+        node.handle(Event::Job(Job { class, ..job(request, 0.2) }));
+        let worker = node.sent().expect("sent");
+        hits[class as usize][worker as usize] += usize::from(request >= 100);
+        node.now += 100 * MS;
+        if (class, worker) != (1, 0) {
+            node.outcome(request, 0, Outcome::Served);
+        } else {
+            silent.push_back(request);
+        }
+        if silent.front().is_some_and(|&first| first + 20 < request) {
+            // Its client goes, which says nothing of the worker.
+            let first = silent.pop_front().expect("one");
+            node.outcome(first, 0, Outcome::Cancelled);
+        }
+        if request % 10 == 9 {
+            node.handle(Event::Timer(Timer::Sweep));
+        }
+    }
+    let [[other_class, _], [lost, well]] = hits;
+    assert!(lost * 4 < well && other_class * 4 > 100, "{hits:?}");
+}
