--- a/src/decide.rs
+++ b/src/decide.rs
@@ -105,9 +105,9 @@
 /// Highest share of failures used: keeps the estimate finite, so that re-tries stay possible.
 const FAULT_CAP: f64 = 0.9;
 /// Weight of one try in the share of those that come when their whole aim seems spent.
-const SHORT_GAIN: f64 = 0.1;
+const SHORT_GAIN: f64 = 0.05;
 /// Most of all tries that can be repeats of so late; beyond it, clients wait less long than they might.
-const SHORT_MOST: f64 = 0.25;
+const SHORT_MOST: f64 = 0.08;
 /// Part of `ask_within` by which the first subscription is made: early, but spread out so that
 /// restarted dispatchers do not stampede discovery.
 const SUBSCRIBE_SPREAD: f64 = 0.5;
