Keep fewer idle connections to real servers where descriptors are few

Seen: by the budgets of a scheduler with 256 descriptors, edge connections may hold 176, hand-overs 32 and the idle pools of 14 real servers 112: 320, with its own on top. Changed: one to eight idle connections a real server, by the descriptors (2 at 256, 8 at 1,024). The test adds all budgets up for 256 to 1,024 descriptors; with 8 in all cases it fails at 256 and 384. Open: a word of giving up takes a descriptor that no budget counts, for 2 s at most.

--- a/src/net/edge_connection.rs
+++ b/src/net/edge_connection.rs
@@ -431,6 +431,17 @@
         assert_eq!(places(0, 0.0), 8, "a few in any case");
     }
 
+    #[test]
+    fn all_connections_together_fit_within_the_descriptors() {
+        use crate::net::real_server::{hand_overs, idle_most};
+        // The largest fleet, one connection being accepted, discovery's, and what the runtime holds.
+        let (real_servers, own) = (14, 12);
+        for sockets in [256, 384, 512, 768, 1024] {
+            let real = hand_overs(sockets) + real_servers * idle_most(sockets);
+            assert!(places(sockets, 192.0) + real + own <= sockets, "{sockets}");
+        }
+    }
+
     // Guards against a head of which only the end was seen, and which hides the other length there.
     #[test]
     fn a_body_framed_in_two_ways_is_told_from_one_in_chunks() {
--- a/src/net/real_server.rs
+++ b/src/net/real_server.rs
@@ -32,8 +32,6 @@
 const KEEP_SHARE: f64 = 0.9;
 /// ... and at least this much less, since a request may be on its way when they close.
 const KEEP_MARGIN: Micros = 300_000;
-/// Most idle connections kept to one real server.
-const IDLE_MOST: usize = 8;
 /// Kept connections are doubted for this long after one broke under the request that it was used for
 /// again: long enough for the jobs that may be repeated to show whether it still happens.
 const DOUBT: Micros = 10 * SECOND;
@@ -172,6 +170,17 @@
     ((keepalive as f64 * KEEP_SHARE) as Micros).min(keepalive.saturating_sub(KEEP_MARGIN))
 }
 
+/// Most hand-overs under way at once, for a process of so many descriptors.
+pub fn hand_overs(sockets: usize) -> usize {
+    (sockets / 8).max(4)
+}
+
+/// Most idle connections kept to one real server. Guards against a dozen real servers whose idle
+/// connections hold the descriptors that edge connections count on.
+pub fn idle_most(sockets: usize) -> usize {
+    (sockets / 128).clamp(1, 8)
+}
+
 /// What is known of kept connections: who used them last, and whether they can be relied on.
 struct Kept {
     used: HashMap<SocketAddr, Instant>,
@@ -214,12 +223,12 @@
                 .build(connector.clone())
         };
         RealServers {
-            client: client(IDLE_MOST),
+            client: client(idle_most(sockets)),
             anew: client(0),
             kept: Mutex::new(Kept { used: HashMap::new(), doubted_until: None }),
             keepalive: Duration::from_micros(settings.keepalive),
             entries,
-            places: Semaphore::new((sockets / 8).max(4)),
+            places: Semaphore::new(hand_overs(sockets)),
         }
     }
 
