Part the program into a workspace of crates with a front, a back and a source as doors

Need: six files of the network code imported one another in a circle, and the flow knew the HTTP edge, so that no second protocol, worker kind or list source could be put in without touching all of them.

--- a/src/main.rs
+++ b/crates/copperspread/src/main.rs
@@ -4,17 +4,21 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use copperspread::net::Node;
-use copperspread::net::clock::{Clock, from_now};
-use copperspread::net::config::{self, Config};
-use copperspread::net::decisions::Decisions;
-use copperspread::net::edge::Ending;
-use copperspread::net::edge_connection::Edge;
-use copperspread::net::invariant::{counts, log};
-use copperspread::net::real_server::RealServers;
-use copperspread::net::service_entry::{self, ServiceEntries};
-use copperspread::{Micros, SECOND};
-use hyper::http::uri::Authority;
+use copperspread_decisions::{Micros, SECOND};
+use copperspread_node::back::http::{CALL_BACK_PATH, RealServers, call_backs};
+use copperspread_node::clock::{Clock, from_now};
+use copperspread_node::decisions::Decisions;
+use copperspread_node::ending::Ending;
+use copperspread_node::entries::ServiceEntries;
+use copperspread_node::front::Front;
+use copperspread_node::front::http::{Guest, front};
+use copperspread_node::invariant::{counts, log};
+use copperspread_node::node::Node;
+use copperspread_node::source::fixed::Fixed;
+use copperspread_node::source::targets::Targets;
+use copperspread_node::source::{Membership, Source};
+use copperspread_settings::{List, SourceSpec, Start, platform};
+use http::uri::Authority;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -30,14 +34,54 @@
 /// Time for the last answers to be written.
 const LAST_WORDS: Micros = 100_000;
 
-fn read(path: &Path) -> Result<Config, String> {
+fn read(path: &Path) -> Result<Start, String> {
     let content = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    config::read(&content).map_err(|e| format!("{}: {e}", path.display()))
+    platform::read_start(&content).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// Reads the configuration again and follows the discovery that it names. Guards against one that
-/// cannot be used: the old one stays.
-fn read_again(path: &Path, started_with: &Config, discovery: &watch::Sender<Authority>) {
+/// Where the program tells its source that the configuration names another list.
+enum Moving {
+    Targets(watch::Sender<Authority>),
+    Fixed(watch::Sender<List>),
+}
+
+impl Moving {
+    /// The source of a start, and the way to move it.
+    fn source(spec: &SourceSpec, known: Option<u64>) -> (Moving, Box<dyn Source>) {
+        match spec {
+            SourceSpec::Targets(address) => {
+                let (sender, address) = watch::channel(address.clone());
+                (Moving::Targets(sender), Box::new(Targets { address, known }))
+            }
+            SourceSpec::Fixed(list) => {
+                let (sender, list) = watch::channel(list.clone());
+                (Moving::Fixed(sender), Box::new(Fixed(list)))
+            }
+        }
+    }
+
+    /// Moves to what another configuration names; whether that is somewhere else.
+    fn follow(&self, spec: SourceSpec) -> bool {
+        match (self, spec) {
+            (Moving::Targets(sender), SourceSpec::Targets(new)) => sender.send_if_modified(|old| {
+                let moved = *old != new;
+                *old = new;
+                moved
+            }),
+            (Moving::Fixed(sender), SourceSpec::Fixed(new)) => sender.send_if_modified(|old| {
+                let moved = old.members != new.members;
+                // The table takes no list that is older than its own.
+                *old = List { revision: old.revision + 1, ..new };
+                moved
+            }),
+            _ => false,
+        }
+    }
+}
+
+/// Reads the configuration again and follows the source that it names. Guards against one that cannot
+/// be used: the old one stays.
+fn read_again(path: &Path, started_with: &Start, source: &Moving) {
     let config = match read(path) {
         Ok(config) => config,
         Err(why) => return log(format_args!("the old configuration stays: {}", one_line(&why))),
@@ -46,11 +90,7 @@
     if !fixed.is_empty() {
         log(format_args!("changes only with a new start: {}", fixed.join(", ")));
     }
-    let moved = discovery.send_if_modified(|old| {
-        let moved = *old != config.discovery;
-        *old = config.discovery;
-        moved
-    });
+    let moved = source.follow(config.source);
     log(format_args!("read the configuration again, discovery {}", if moved { "moves" } else { "stays" }));
 }
 
@@ -58,7 +98,7 @@
     text.replace('\n', " ")
 }
 
-async fn serve(config: Config, path: &Path) -> Result<(), String> {
+async fn serve(config: Start, path: &Path) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
@@ -66,21 +106,23 @@
     let entries = Arc::new(ServiceEntries::new(&config.given.node));
     let given = config.given.clone();
     let decisions = Decisions::new(given.decisions, config.seed, clock).map_err(|e| e.to_string())?;
-    let known = service_entry::remember(config.known.as_ref(), &entries, &decisions);
+    let membership = Membership::new(Arc::clone(&entries), Arc::clone(&decisions));
+    let known = membership.remember(config.known.as_ref());
     let node = Arc::new(Node {
         clock,
         decisions: Arc::clone(&decisions),
-        real_servers: RealServers::new(&config.given.node, Arc::clone(&entries), config.sockets),
-        entries: Arc::clone(&entries),
+        back: Arc::new(RealServers::new(&config.given.node, Arc::clone(&entries), config.sockets)),
         settings: given.node,
         ending: Ending::default(),
     });
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let edge = Edge::new(Arc::clone(&node), config.sockets, config.memory_mb);
-    let (discovery, address) = watch::channel(config.discovery.clone());
-    tokio::spawn(service_entry::follow(address, known, entries, decisions));
-    tokio::spawn(Arc::clone(&edge).accept(listener));
+    let take = Arc::new(call_backs(entries, decisions));
+    let guest = Guest { path: CALL_BACK_PATH, take };
+    let edge = front(Arc::clone(&node), guest, listener, config.sockets, config.memory_mb);
+    let (moving, source) = Moving::source(&config.source, known);
+    tokio::spawn(source.follow(membership));
+    tokio::spawn(Arc::clone(&edge).accept());
     log(format_args!("{} serves on {}", config.name, config.listen));
 
     loop {
@@ -88,7 +130,7 @@
             biased;
             _ = term.recv() => break,
             // Guards against an end by SIGHUP, also after SIGTERM: the handler stays.
-            _ = hup.recv() => read_again(path, &config, &discovery),
+            _ = hup.recv() => read_again(path, &config, &moving),
         }
     }
     let by = from_now(longest.min(ANSWERED_BY));
@@ -96,14 +138,14 @@
     node.ending.begin(by);
     log(format_args!("ending, {} flows to answer", node.decisions.flows()));
     // Connections and call-backs are taken until the last.
-    while Instant::now() < latecomers || (edge.busy() > 0 && Instant::now() < by) {
+    while Instant::now() < latecomers || (Front::busy(&*edge) > 0 && Instant::now() < by) {
         sleep_until(from_now(LOOK)).await;
     }
     sleep_until(from_now(LAST_WORDS)).await;
     for (what, count) in counts() {
         log(format_args!("{what}: {count} in all"));
     }
-    log(format_args!("ended, {} requests left", edge.busy()));
+    log(format_args!("ended, {} requests left", Front::busy(&*edge)));
     Ok(())
 }
 
--- a/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -1,4 +1,4 @@
-//! All decisions of a dispatcher. Types, events and actions are in `src/interface.rs`.
+//! All decisions of a dispatcher. Types, events and actions are in `interface.rs`.
 //!
 //! The ordinary path follows "Empirical Study of Low-Latency Network Model with Orchestrator in
 //! MEC", eq. (1): estimate the job's time at every ready worker, send it to the lowest, refuse it
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,13 +1,13 @@
-//! copperspread makes the decisions of a dispatcher that pushes jobs to workers.
+//! The decisions of a dispatcher that pushes jobs to workers.
 //!
 //! For every job it estimates the finish time at each worker by the processor-sharing formula,
 //! sends the job to the lowest estimate and refuses it on arrival when that estimate exceeds the
 //! time the job has left. [`Dispatcher`] does no I/O, reads no clock and starts no thread: the node
-//! that loads it hands in events with their time and carries out the actions it gets back. [`net`]
-//! is such a node, the real scheduler on sockets; the adapter on the simulator's wire is another.
+//! that loads it hands in events with their time and carries out the actions it gets back. The
+//! scheduler on sockets is such a node (`crates/node`); the adapter on the simulator's wire another.
 //!
 //! ```
-//! use copperspread::{
+//! use copperspread_decisions::{
 //!     Action, Class, Dispatcher, Event, Job, Outcome, RequestId, Roster, RosterKind, Settings,
 //!     WorkerEntry, WorkerId, WorkerState, AttemptOutcome,
 //! };
@@ -37,18 +37,10 @@
 //! };
 //! actions.clear();
 //! dispatcher.handle(201_000, Event::Outcome(outcome), &mut actions);
-//! # Ok::<(), copperspread::SettingsError>(())
+//! # Ok::<(), copperspread_decisions::SettingsError>(())
 //! ```
 mod decide;
 mod interface;
-pub mod json;
-pub mod net;
-pub mod settings;
 
 pub use decide::Dispatcher;
 pub use interface::*;
-
-/// The README's example, kept running.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct Readme;
--- a/tests/cold.rs
+++ b/crates/decisions/tests/cold.rs
@@ -1,7 +1,7 @@
 //! Cold workers: all dispatchers together stay inside the budget, though none knows of the others.
 mod common;
 use common::*;
-use copperspread::*;
+use copperspread_decisions::*;
 
 /// Plays a fleet of dispatchers for some seconds after a worker's start and returns the largest
 /// work sent to it within any window, as a share of the budget of its first moment.
--- a/src/bin/copperspread-drill/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -2,8 +2,8 @@
 use std::borrow::Cow;
 use std::io::{self, Write};
 
-use copperspread::json::{self, micros};
-use copperspread::*;
+use copperspread_decisions::*;
+use copperspread_settings::json::{self, micros};
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -141,7 +141,7 @@
         "provision" => {
             let text = need(line.params, line, "params")?;
             let given = json::parse(text.get())
-                .and_then(|params| copperspread::settings::read(&params))
+                .and_then(|params| copperspread_settings::platform::read_settings(&params))
                 .map_err(|e| Failure::Bad(format!("provision: params: {e}")))?;
             match Dispatcher::new(given.decisions, need(line.prng, line, "prng")?) {
                 Ok(dispatcher) => {
--- a/src/net/real_server.rs
+++ b/crates/node/src/back/http.rs
@@ -7,6 +7,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use copperspread_decisions::*;
+use copperspread_settings::NodeSettings;
+use copperspread_settings::json::{self, field, need, number, text};
+use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::http::Extensions;
 use hyper::http::uri::{Authority, PathAndQuery, Uri};
@@ -18,14 +22,15 @@
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 
-use crate::interface::*;
-use crate::json::{self, field, need, number, text};
-use crate::net::clock::from_now;
-use crate::net::edge_connection::Room;
-use crate::net::invariant::note;
-use crate::net::service_entry::ServiceEntries;
-use crate::settings::NodeSettings;
+use crate::back::Back;
+use crate::clock::from_now;
+use crate::decisions::Decisions;
+use crate::entries::ServiceEntries;
+use crate::invariant::note;
+use crate::order::{Handed, News, Order, request_id};
 
+/// Where real servers call back.
+pub const CALL_BACK_PATH: &str = "/_jobs/news";
 /// Longest body of an answer that is read.
 const LONGEST_BODY: usize = 64 * 1024;
 /// Share of the real servers' keep-alive for which idle connections are kept here.
@@ -40,15 +45,6 @@
 /// A word of giving up that has not been answered by then is let go.
 const GIVE_UP_WITHIN: Micros = 2 * SECOND;
 
-/// What a real server tells of a scheduling by a call-back.
-#[derive(Clone, Debug, PartialEq)]
-pub enum News {
-    /// The job runs.
-    Progress(Progress),
-    /// It ended; a result is there where it was served.
-    Ended(Outcome, Option<Bytes>, Option<Report>),
-}
-
 /// A call-back: whose scheduling, at which real server, and what became of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallBack {
@@ -60,12 +56,6 @@
     pub news: News,
 }
 
-/// The id of a flow in the clients' form: 16 hex digits.
-pub fn request_id(text: &str) -> Option<RequestId> {
-    let hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    u64::from_str_radix(text, 16).ok().filter(|_| hex).map(RequestId)
-}
-
 /// Reads a call-back.
 pub fn read_call_back(body: &[u8]) -> Result<CallBack, String> {
     let value = json::parse_bytes(body)?;
@@ -90,6 +80,21 @@
     })
 }
 
+/// What takes the real servers' call-backs, wherever these come in. One that belongs to no flow any
+/// more is taken like the rest.
+pub fn call_backs(
+    entries: Arc<ServiceEntries>,
+    decisions: Arc<Decisions>,
+) -> impl Fn(&[u8]) -> Result<(), String> + Send + Sync {
+    move |body| {
+        let told = read_call_back(body)?;
+        if let Some(worker) = entries.worker(&told.from) {
+            decisions.news(told.request, worker, told.news);
+        }
+        Ok(())
+    }
+}
+
 fn set(report: &mut Report, name: &str, value: f64) {
     match name {
         "queue" | "waiting" => report.queue = Some(value),
@@ -148,23 +153,6 @@
     if error.is_connect() || unwritten { Outcome::ConnectFailed } else { Outcome::Reset }
 }
 
-/// What of a client's request passes on to a real server.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// The request's id, as the client wrote it.
-    pub id: String,
-    /// Path and query.
-    pub path: PathAndQuery,
-    /// The headers that pass on.
-    pub headers: HeaderMap,
-    /// What may be repeated of the job.
-    pub effect: Effect,
-    /// The body.
-    pub body: Bytes,
-    /// The room that the body takes.
-    pub room: Room,
-}
-
 /// How long an idle connection is kept here, when the real servers keep theirs for so long.
 pub fn kept_idle(keepalive: Micros) -> Micros {
     ((keepalive as f64 * KEEP_SHARE) as Micros).min(keepalive.saturating_sub(KEEP_MARGIN))
@@ -259,12 +247,7 @@
     }
 
     /// Hands a scheduling over; returns once the real server has taken it, or how it ended.
-    pub async fn hand_over(
-        &self,
-        worker: WorkerId,
-        order: &Order,
-        deadline: Instant,
-    ) -> Result<(), (Outcome, Option<Report>)> {
+    async fn hand_over_now(&self, worker: WorkerId, order: &Order, deadline: Instant) -> Handed {
         // Guards against new work for a real server of which discovery told, after the module
         // chose it, that it drains or is gone.
         let Some(address) = self.entries.serving(worker) else { return Err((Outcome::Moot, None)) };
@@ -297,9 +280,19 @@
         self.carried(&connection, true);
         read_answer(head.status, &head.headers).map_or(Ok(()), |outcome| Err((outcome, report)))
     }
+}
+
+impl Back for RealServers {
+    fn hand_over<'a>(
+        &'a self,
+        worker: WorkerId,
+        order: &'a Order,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Handed> {
+        Box::pin(self.hand_over_now(worker, order, deadline))
+    }
 
-    /// Tells a real server that a scheduling it has taken is no longer waited for.
-    pub fn give_up(&self, worker: WorkerId, order: &Order) {
+    fn give_up(&self, worker: WorkerId, order: &Order) {
         let Some(address) = self.entries.address(worker) else { return };
         let Ok(path) = format!("/jobs/{}", order.id).parse() else { return };
         let Some(request) = request(Method::DELETE, address, path, Bytes::new()) else { return };
--- /dev/null
+++ b/crates/node/src/back/mod.rs
@@ -0,0 +1,24 @@
+//! The door to real servers.
+use copperspread_decisions::WorkerId;
+use futures_util::future::BoxFuture;
+use tokio::time::Instant;
+
+use crate::order::{Handed, Order};
+
+pub mod http;
+
+/// A workers' protocol. It decides nothing: it never sends an order twice, and says "never ran" only
+/// where its protocol proves it.
+pub trait Back: Send + Sync + 'static {
+    /// Hands a scheduling over. The future is dropped where the flow no longer waits; what the real
+    /// server then still has of it is given up by that.
+    fn hand_over<'a>(
+        &'a self,
+        worker: WorkerId,
+        order: &'a Order,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Handed>;
+
+    /// Tells a real server that a scheduling it has taken is no longer waited for. Does not wait.
+    fn give_up(&self, worker: WorkerId, order: &Order);
+}
--- a/src/net/decisions.rs
+++ b/crates/node/src/decisions.rs
@@ -4,31 +4,13 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use copperspread_decisions::*;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep_until;
 
-use crate::interface::*;
+use crate::clock::{Clock, from_now};
 use crate::invariant;
-use crate::net::clock::{Clock, from_now};
-use crate::net::real_server::News;
-use crate::{Dispatcher, Settings, SettingsError};
-
-/// What reaches a flow from outside its task.
-#[derive(Debug)]
-pub enum Mail {
-    /// The module: send the next scheduling to this real server.
-    Send(WorkerId),
-    /// The module: the final answer is a refusal, for the client to come back after this long.
-    Refuse(Micros),
-    /// The module: the final answer is a failure.
-    Fail,
-    /// The module: stop waiting for a scheduling.
-    Cancel(u32),
-    /// A call-back of a real server.
-    News(WorkerId, News),
-    /// The edge: the client has gone.
-    Gone,
-}
+use crate::order::{Mail, News};
 
 /// The sending end of a flow's mailbox.
 pub type Mailbox = mpsc::UnboundedSender<Mail>;
--- a/src/net/flow.rs
+++ b/crates/node/src/flow.rs
@@ -2,46 +2,19 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use copperspread_decisions::*;
 use futures_util::future::{AbortHandle, abortable};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep_until;
 
-use crate::interface::*;
+use crate::decisions::Mailbox;
+use crate::ending::earlier;
 use crate::invariant;
-use crate::net::Node;
-use crate::net::decisions::{Mail, Mailbox};
-use crate::net::edge;
-use crate::net::real_server::{News, Order};
+use crate::node::Node;
+use crate::order::{Answer, Demand, Mail, News};
 
-/// The final answer to a client.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    /// A real server's result.
-    Served(Bytes),
-    /// Turned away by the module; harmless to try again.
-    Refused {
-        /// After this long.
-        retry_after: Micros,
-    },
-    /// Failed, with nothing promised.
-    Failed,
-    /// Another flow had this id.
-    Repeated,
-}
-
-/// What a flow begins with.
-#[derive(Clone, Debug)]
-pub struct Demand {
-    /// The job, in the module's form.
-    pub job: Job,
-    /// When the client must have its answer.
-    pub deadline: Instant,
-    /// What passes on to real servers.
-    pub order: Order,
-}
-
-/// The edge's hold on a flow: its answer, and word to the flow when the client goes first.
+/// A front's hold on a flow: its answer, and word to the flow when the client goes first.
 pub struct Held {
     answer: oneshot::Receiver<Answer>,
     mailbox: Mailbox,
@@ -100,7 +73,7 @@
         let order = Arc::new(self.demand.order.clone());
         let deadline = self.demand.deadline;
         let mut ending = node.ending.watch();
-        let overdue = sleep_until(edge::earlier(deadline, &ending));
+        let overdue = sleep_until(earlier(deadline, &ending));
         tokio::pin!(overdue);
         let mut late = false;
         let mut hand_overs = FuturesUnordered::new();
@@ -114,7 +87,7 @@
                         invariant!(!repeated, "a flow has one scheduling at a real server");
                         let (node, order) = (Arc::clone(&node), Arc::clone(&order));
                         let (hand_over, handing) =
-                            abortable(async move { node.real_servers.hand_over(worker, &order, deadline).await });
+                            abortable(async move { node.back.hand_over(worker, &order, deadline).await });
                         let sent_at = self.node.clock.now();
                         self.schedulings.push(Scheduling { worker, sent_at, out: true, handing: Some(handing) });
                         if late || repeated || self.answer.is_none() {
@@ -140,7 +113,7 @@
                     }
                 }
                 // This node ends before the flow's own deadline.
-                Ok(()) = ending.changed() => overdue.as_mut().reset(edge::earlier(deadline, &ending)),
+                Ok(()) = ending.changed() => overdue.as_mut().reset(earlier(deadline, &ending)),
                 // The module is told that time is up, and says what the client hears.
                 () = &mut overdue, if !late => {
                     late = true;
@@ -207,7 +180,7 @@
         let Some(scheduling) = self.schedulings.get_mut(number as usize).filter(|s| s.out) else { return };
         match scheduling.handing.take() {
             Some(handing) => handing.abort(),
-            None => self.node.real_servers.give_up(scheduling.worker, &self.demand.order),
+            None => self.node.back.give_up(scheduling.worker, &self.demand.order),
         }
         self.end(number, outcome, None, None);
     }
--- a/src/net/edge.rs
+++ b/crates/node/src/front/http.rs
@@ -10,18 +10,16 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Extension, Router};
-use tokio::sync::watch;
+use copperspread_decisions::*;
+use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout_at};
 
-use crate::interface::*;
-use crate::net::Node;
-use crate::net::edge_connection::{Room, Terms};
-use crate::net::flow::{self, Answer, Demand};
-use crate::net::invariant::note;
-use crate::net::real_server::{self, Order};
+use crate::flow;
+use crate::front::edge_connection::{Edge, LONGEST_BODY, Terms};
+use crate::invariant::note;
+use crate::node::Node;
+use crate::order::{Answer, Demand, Order, Room, request_id};
 
-/// Longest body of a request.
-pub const LONGEST_BODY: usize = 64 * 1024;
 /// An answer is due this long before the client gives up: it covers the way of both messages and
 /// this process's own waits for its part of a core.
 const MARGIN: Micros = 50_000;
@@ -39,49 +37,36 @@
     "expect",
 ];
 
-/// The node's own ending: when it has begun, the instant by which all is answered.
-pub struct Ending {
-    by: watch::Sender<Option<Instant>>,
+/// Messages of another protocol that come to the clients' address: real servers have no other one to
+/// call back at.
+#[derive(Clone)]
+pub struct Guest {
+    /// Where they come, by `POST`.
+    pub path: &'static str,
+    /// What takes them.
+    pub take: Arc<Take>,
 }
 
-/// A flow's view of the ending.
-pub type EndingWatch = watch::Receiver<Option<Instant>>;
-
-impl Default for Ending {
-    fn default() -> Self {
-        Ending { by: watch::Sender::new(None) }
-    }
-}
-
-impl Ending {
-    /// Begins the ending: all is answered by this instant.
-    pub fn begin(&self, by: Instant) {
-        self.by.send_replace(Some(by));
-    }
-
-    /// Whether it has begun.
-    pub fn begun(&self) -> bool {
-        self.by.borrow().is_some()
-    }
-
-    /// Tells when it begins.
-    pub fn watch(&self) -> EndingWatch {
-        self.by.subscribe()
-    }
-}
-
-/// A deadline, or the end of the node if that comes first.
-pub fn earlier(deadline: Instant, ending: &EndingWatch) -> Instant {
-    (*ending.borrow()).map_or(deadline, |by| by.min(deadline))
+/// Takes one message; the error says in words why it is none.
+pub type Take = dyn Fn(&[u8]) -> Result<(), String> + Send + Sync;
+
+/// The front that speaks the platform's HTTP/1.1, on a listener and within the limits.
+pub fn front(
+    node: Arc<Node>,
+    guest: Guest,
+    listener: TcpListener,
+    sockets: usize,
+    memory_mb: f64,
+) -> Arc<Edge> {
+    let ending = node.ending.clone();
+    let guest_path = guest.path;
+    Edge::new(routes(node, guest), guest_path, ending, listener, sockets, memory_mb)
 }
 
-/// Where real servers call back.
-pub const CALL_BACK_PATH: &str = "/_jobs/news";
-
 /// What is answered where.
-pub fn routes(node: Arc<Node>) -> Router {
+pub fn routes(node: Arc<Node>, guest: Guest) -> Router {
     Router::new()
-        .route(CALL_BACK_PATH, post(call_back))
+        .route(guest.path, post(call_back).with_state(guest))
         .route("/-/ready", get(ready))
         .fallback(job)
         .with_state(node)
@@ -111,9 +96,9 @@
     }
 }
 
-/// A real server tells of a scheduling. One that belongs to none any more is answered like the rest.
+/// A guest's message. One that belongs to nothing any more is answered like the rest.
 async fn call_back(
-    State(node): State<Arc<Node>>,
+    State(guest): State<Guest>,
     Extension(terms): Extension<Terms>,
     request: Request,
 ) -> StatusCode {
@@ -121,13 +106,8 @@
         Ok(read) => read,
         Err(status) => return status,
     };
-    match real_server::read_call_back(&body) {
-        Ok(told) => {
-            if let Some(worker) = node.entries.worker(&told.from) {
-                node.decisions.news(told.request, worker, told.news);
-            }
-            StatusCode::NO_CONTENT
-        }
+    match (guest.take)(&body) {
+        Ok(()) => StatusCode::NO_CONTENT,
         Err(why) => {
             note("bad call-back", &why);
             StatusCode::BAD_REQUEST
@@ -183,7 +163,7 @@
         }
     }
     let id = text("x-request-id").ok_or("no X-Request-ID")?;
-    let request = real_server::request_id(id).ok_or_else(|| format!("X-Request-ID {id:?}"))?;
+    let request = request_id(id).ok_or_else(|| format!("X-Request-ID {id:?}"))?;
     let timeout = text("x-timeout").ok_or("no X-Timeout")?;
     let left = read_timeout(timeout).ok_or_else(|| format!("X-Timeout {timeout:?}"))?;
     let hint = text("x-cost").and_then(|cost| cost.parse::<f64>().ok());
--- a/src/net/invariant.rs
+++ b/crates/node/src/invariant.rs
@@ -40,7 +40,7 @@
         let holds: bool = $holds;
         debug_assert!(holds, $what);
         if !holds {
-            $crate::net::invariant::broken($what);
+            $crate::invariant::broken($what);
         }
     };
 }
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,23 @@
+//! What the parts of one scheduler share.
+use std::sync::Arc;
+
+use copperspread_settings::NodeSettings;
+
+use crate::back::Back;
+use crate::clock::Clock;
+use crate::decisions::Decisions;
+use crate::ending::Ending;
+
+/// One scheduler.
+pub struct Node {
+    /// The clock of all events.
+    pub clock: Clock,
+    /// The decision module and the way to the flows.
+    pub decisions: Arc<Decisions>,
+    /// The way to the real servers.
+    pub back: Arc<dyn Back>,
+    /// The settings that concern the node.
+    pub settings: NodeSettings,
+    /// The node's own ending.
+    pub ending: Ending,
+}
--- /dev/null
+++ b/crates/node/src/source/mod.rs
@@ -0,0 +1,73 @@
+//! The door to what knows the real servers.
+use std::sync::Arc;
+
+use copperspread_decisions::{RosterKind, WorkerEntry};
+use copperspread_settings::List;
+use futures_util::future::BoxFuture;
+
+use crate::decisions::Decisions;
+use crate::entries::ServiceEntries;
+
+pub mod fixed;
+pub mod targets;
+
+/// Where a worker list comes from. It turns its own form into a [`List`] and hands that on whole; a
+/// list that it cannot read in full changes nothing.
+pub trait Source: Send + 'static {
+    /// Follows the list for good.
+    fn follow(self: Box<Self>, membership: Membership) -> BoxFuture<'static, ()>;
+}
+
+/// What a source tells: first the table of entries, then the module.
+#[derive(Clone)]
+pub struct Membership {
+    entries: Arc<ServiceEntries>,
+    decisions: Arc<Decisions>,
+}
+
+impl Membership {
+    /// Over a table and the module.
+    pub fn new(entries: Arc<ServiceEntries>, decisions: Arc<Decisions>) -> Membership {
+        Membership { entries, decisions }
+    }
+
+    /// Tells the list that was known before the start; returns its version.
+    pub fn remember(&self, known: Option<&List>) -> Option<u64> {
+        let known = known?;
+        let told = self.entries.take(known).unwrap_or_default();
+        self.decisions.roster(RosterKind::Remembered, &told);
+        Some(known.revision)
+    }
+
+    /// Takes a list into the table and returns its entries, or nothing where the table already holds
+    /// something newer.
+    pub fn take(&self, list: &List) -> Option<Vec<WorkerEntry>> {
+        self.entries.take(list)
+    }
+
+    /// Tells the module of entries that the table took.
+    pub fn tell(&self, complete: bool, entries: &[WorkerEntry]) {
+        let kind = if complete { RosterKind::Full } else { RosterKind::Changes };
+        self.decisions.roster(kind, entries);
+    }
+
+    /// Another place is asked from now on, which may count its versions in another way.
+    pub fn count_anew(&self) {
+        self.entries.count_anew();
+    }
+
+    /// A call failed, or a subscription dropped.
+    pub fn failed(&self) {
+        self.decisions.roster(RosterKind::Failed, &[]);
+    }
+
+    /// Whether the list is asked for only when the module wants it.
+    pub fn on_request(&self) -> bool {
+        self.decisions.on_request()
+    }
+
+    /// Waits until the module asks for the list.
+    pub async fn subscription(&self) {
+        self.decisions.subscription().await;
+    }
+}
--- /dev/null
+++ b/crates/settings/src/members.rs
@@ -0,0 +1,44 @@
+//! A worker list in the form that all sources share.
+use copperspread_decisions::Micros;
+use http::uri::Authority;
+
+/// What discovery says of one service entry's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes new work.
+    Serving,
+    /// It finishes what it has.
+    Draining,
+    /// It left the list.
+    Deleted,
+}
+
+/// One service entry as discovery tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// The real server's name, the same at every scheduler.
+    pub id: String,
+    /// Where it listens, as seen from here.
+    pub address: Authority,
+    /// The name of its zone.
+    pub zone: String,
+    /// The name of its kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Whether it takes work.
+    pub phase: Phase,
+    /// Its last start, in Unix time; `None` is long ago.
+    pub started_at: Option<Micros>,
+}
+
+/// One answer of discovery.
+#[derive(Clone, Debug, PartialEq)]
+pub struct List {
+    /// Its version.
+    pub revision: u64,
+    /// All entries, or only those that changed.
+    pub complete: bool,
+    /// The entries.
+    pub members: Vec<Member>,
+}
--- a/src/settings.rs
+++ b/crates/settings/src/platform.rs
@@ -1,44 +1,72 @@
-//! The settings object, which a real scheduler finds in its configuration and an instance of the
-//! simulator in its first message. This is its one reader; unknown keys are ignored.
+//! The platform's JSON: the configuration that it lays down for each start, the settings object in
+//! it, which an instance of the simulator finds in its first message, and discovery's lists. This is
+//! their one reader; unknown keys are ignored.
+use copperspread_decisions::*;
+use http::uri::Authority;
 use tinyjson::JsonValue;
 
-use crate::interface::*;
-use crate::json::{field, flag, list, micros, need, number, seconds, text, whole};
+use crate::json::{self, field, flag, list, micros, need, number, seconds, text, whole};
+use crate::members::{List, Member, Phase};
+use crate::start::{Given, NodeSettings, SourceSpec, Start};
 
-/// The settings, parted by who uses them.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Given {
-    /// For the decision module.
-    pub decisions: Settings,
-    /// For the node round it.
-    pub node: NodeSettings,
+/// Reads the configuration; the error says in words what is wrong with it.
+pub fn read_start(content: &str) -> Result<Start, String> {
+    let config = json::parse(content)?;
+    let nothing = JsonValue::Null;
+    let listen = need(text(&config, "listen"), "listen")?;
+    let discovery = need(text(&config, "discovery"), "discovery")?;
+    let seed = need(text(&config, "seed"), "seed")?;
+    let limits = field(&config, "limits").unwrap_or(&nothing);
+    let settings = field(&config, "settings").ok_or("settings is missing")?;
+    Ok(Start {
+        name: text(&config, "name")?.unwrap_or_default().to_owned(),
+        listen: listen.parse().map_err(|_| format!("listen: {listen:?} is no address"))?,
+        source: SourceSpec::Targets(
+            discovery.parse().map_err(|_| format!("discovery: {discovery:?} is no address"))?,
+        ),
+        seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed:?} is no hex number"))?,
+        sockets: whole(limits, "sockets").map_err(|e| format!("limits: {e}"))?.unwrap_or(1024),
+        memory_mb: number(limits, "memory_mb").map_err(|e| format!("limits: {e}"))?.unwrap_or(192.0),
+        known: field(&config, "known").map(read_list).transpose().map_err(|e| format!("known: {e}"))?,
+        given: read_settings(settings).map_err(|e| format!("settings: {e}"))?,
+    })
+}
+
+/// Reads an answer of discovery; a list with one bad line is bad as a whole.
+pub fn read_list(value: &JsonValue) -> Result<List, String> {
+    let members = json::field(value, "members").ok_or("members is missing")?;
+    let JsonValue::Array(members) = members else { return Err("members is no list".into()) };
+    Ok(List {
+        revision: need(whole(value, "revision"), "revision")?,
+        complete: need(flag(value, "complete"), "complete")?,
+        members: members.iter().map(read_member).collect::<Result<_, _>>()?,
+    })
 }
 
-/// What the settings tell the node that the decision module has no use for.
-#[derive(Clone, Debug, PartialEq)]
-pub struct NodeSettings {
-    /// The classes' names, by index.
-    pub classes: Vec<String>,
-    /// What may be repeated of the classes' jobs, by index.
-    pub effects: Vec<Effect>,
-    /// The tenants' names, by index.
-    pub tenants: Vec<String>,
-    /// The zones' names, by index.
-    pub zones: Vec<String>,
-    /// The names of the kinds of worker, by index.
-    pub kinds: Vec<String>,
-    /// A connection that is not up by then has failed.
-    pub connect_within: Micros,
-    /// Workers close a connection that has stood idle for this long.
-    pub keepalive: Micros,
-    /// The simulator's clients are told when to come back.
-    pub tells_when: bool,
-    /// The longest time for which clients heed a refusal's word to stay away.
-    pub max_retry_after: Micros,
+fn read_member(value: &JsonValue) -> Result<Member, String> {
+    let address = need(text(value, "host_port"), "host_port")?;
+    let parsed: Authority = address.parse().map_err(|_| format!("{address:?} is no address"))?;
+    if parsed.port().is_none() {
+        return Err(format!("{address:?} names no port"));
+    }
+    Ok(Member {
+        id: need(text(value, "id"), "id")?.to_owned(),
+        address: parsed,
+        zone: text(value, "locality")?.unwrap_or_default().to_owned(),
+        kind: text(value, "flavor")?.unwrap_or_default().to_owned(),
+        cell: whole(value, "cell")?.unwrap_or(0),
+        phase: match need(text(value, "phase"), "phase")? {
+            "SERVING" => Phase::Serving,
+            "DRAINING" => Phase::Draining,
+            "DELETED" => Phase::Deleted,
+            other => return Err(format!("unknown phase {other:?}")),
+        },
+        started_at: whole::<u64>(value, "up_since_ms")?.filter(|&at| at > 0).map(|ms| ms * 1_000),
+    })
 }
 
 /// Reads the settings; the error says in words what is wrong with them.
-pub fn read(params: &JsonValue) -> Result<Given, String> {
+pub fn read_settings(params: &JsonValue) -> Result<Given, String> {
     let nothing = JsonValue::Null;
     let part = |name| field(params, name).unwrap_or(&nothing);
     let family = part("family_info");
