Give the program a command line, a TOML configuration in layers, and a log by tracing

Need: the only way to start was EDGE_CONFIG with the platform's JSON, no arguments, and log lines made by hand that could block on an unread pipe. Other installations had no way in, and a newcomer needed two shells and a platform's file.

Change: crates/config reads TOML by serde with defaults < file < environment < flags (figment keeps each value's origin), refuses unknown keys and checks all values against one another and against the descriptors that the process is allowed; errors name file, line, column and key. It maps onto the one settings type. The log is text or JSON with spans (flow, class, real server), written by a thread of its own; its level follows SIGHUP. A reload waits until the file has been the same for 50 ms, and SIGTERM ends that wait. The platform's build leaves the standalone features out.

In tests: a half-written file is read once, whole; 400 flows at trace level with a log that nobody reads are all answered, and SIGTERM ends the program.

--- /dev/null
+++ b/crates/config/tests/config.rs
@@ -0,0 +1,175 @@
+//! Configurations that are wrong, each with what is said of it, and what good ones come to.
+use copperspread_config::{Config, Effective, Surroundings, commented_default, page, read_text, schema};
+use copperspread_decisions::{Effect, KeyScope, SECOND};
+use copperspread_settings::SourceSpec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const AROUND: Surroundings = Surroundings { descriptors: Some(4096) };
+const EXAMPLE: &str = include_str!("../../../deploy/standalone.toml");
+
+fn read(text: &str) -> Result<Effective, String> {
+    read_text(Some(("f.toml", text)), &[], &AROUND).map_err(|problems| problems.to_string())
+}
+
+#[test]
+fn what_is_wrong_is_told_with_its_place_and_what_would_be_right() {
+    let class = "[[classes]]\nname = 'a'\n";
+    let cases: &[(&str, &[&str])] = &[
+        ("[front\n", &["f.toml:1:"]),
+        ("", &["f.toml: sets nothing"]),
+        ("# only words\n", &["f.toml: sets nothing"]),
+        ("nam = 'x'", &["f.toml:1:1: nam: unknown field", "`name`"]),
+        ("name = 3", &["f.toml:1:8: name: invalid type", "expected a string"]),
+        ("\n[front.http]\nlisten = 'here'", &["f.toml:3:10: front.http.listen", "127.0.0.1:8081"]),
+        ("[back.http]\nkeep_idle = 5", &["f.toml:2:13: back.http.keep_idle", "span of time"]),
+        ("[back.http]\nkeep_idle = '5 sheep'", &["f.toml:2:13: back.http.keep_idle", "250ms"]),
+        ("[back.http]\nconnect_within = '0s'", &["f.toml:2:18: back.http.connect_within: no time"]),
+        ("[limits]\nmemory = '1 MB'", &["f.toml:2:10: limits.memory: 1 MB is too little; at least 16 MB"]),
+        ("[limits]\ndescriptors = 5000", &["f.toml:2:15: limits.descriptors", "4096", "ulimit"]),
+        ("[limits]\ndescriptors = -1", &["f.toml:2:15: limits.descriptors"]),
+        ("[zones]\nhere = 'b'", &["f.toml:2:8: zones.here: \"b\" is not among zones.names: a"]),
+        ("[zones]\nnames = ['a', 'a']", &["zones.names: a name comes twice"]),
+        ("[cold]\nfrom = nan", &["f.toml:2:8: cold.from: NaN"]),
+        ("[cold]\nfall_multiple = 0", &["cold.fall_multiple: 0 is not over 0"]),
+        ("[attempts]\nmost = 0", &["attempts.most"]),
+        ("[source]\nkind = 'consul'", &["f.toml:2:8: source.kind: unknown variant `consul`", "`targets`"]),
+        ("[source]\nkind = 'targets'", &["f.toml:2:8: source.kind: \"targets\" needs source.address"]),
+        ("[source]\nkind = 'targets'\naddress = 'nowhere'", &["f.toml:3:11: source.address", "a port"]),
+        ("[source]\naddress = 'h:1'", &["f.toml:2:11: source.address: has no meaning"]),
+        ("[source]\nworkers = []", &["source.workers: is empty"]),
+        ("[[source.workers]]\nid = 'w'", &["f.toml:1:1: source.workers[0]", "missing field `address`"]),
+        (
+            "[[source.workers]]\nid = 'w'\naddress = 'h:1'\n[[source.workers]]\nid = 'w'\naddress = 'h'",
+            &[
+                "f.toml:5:6: source.workers[1].id: \"w\" comes twice",
+                "f.toml:6:11: source.workers[1].address",
+            ],
+        ),
+        ("classes = []", &["f.toml:1:11: classes: is empty"]),
+        ("[[classes]]\naim = '1s'", &["classes[0]", "missing field `name`"]),
+        (&format!("{class}{class}"), &["f.toml:4:8: classes[1].name: \"a\" comes twice"]),
+        ("[[classes]]\nname = 'a/b'", &["classes[0].name: \"a/b\" is no part of a path"]),
+        ("[[classes]]\nname = '_jobs'", &["classes[0].name: \"_jobs\" is taken"]),
+        (
+            &format!("{class}aim = '11s'"),
+            &["f.toml:3:7: classes[0].aim: 11s is later than the deadline of 10s"],
+        ),
+        (&format!("{class}worth = -1"), &["classes[0].worth: -1 is not 0 or more"]),
+        (&format!("{class}repeat = 'keyed'"), &["classes[0].key_window: is missing or 0"]),
+        (&format!("{class}key_window = '1s'"), &["f.toml:3:14: classes[0].key_window: has no meaning"]),
+        (&format!("{class}worker_kind = 'x'"), &["classes[0].worker_kind: no worker is of the kind \"x\""]),
+        ("[records]\nqueue = 1", &["records.queue: 1 is not between 16 and 1000000"]),
+        ("[records]\nrotate_at = '1 KiB'", &["records.rotate_at: 1 KiB is too little; at least 64 KiB"]),
+    ];
+    for (text, said) in cases {
+        let error = read(text).expect_err(text);
+        for part in *said {
+            assert!(error.contains(part), "{text:?} gives {error:?}, without {part:?}");
+        }
+    }
+}
+
+#[test]
+fn all_problems_are_told_at_once() {
+    let error = read("[limits]\nmemory = '1 B'\ndescriptors = 1\n[zones]\nhere = 'q'").expect_err("three");
+    assert_eq!(error.lines().count(), 3, "{error}");
+}
+
+#[test]
+fn flags_go_before_the_file_and_the_file_before_the_default() {
+    let flags = ["limits.memory=64 MB", "zones.names=[\"a\", \"q\"]", "schedulers=3", "name=from flag"];
+    let flags = flags.map(str::to_owned);
+    let text = "schedulers = 2\n[limits]\ndescriptors = 512";
+    let effective = read_text(Some(("f.toml", text)), &flags, &AROUND).expect("good");
+    let config = &effective.config;
+    assert_eq!((config.schedulers, config.limits.descriptors), (3, 512));
+    assert_eq!((config.limits.memory.0, &*config.name), (64_000_000, "from flag"));
+    assert_eq!(config.zones.names, ["a", "q"]);
+    for (key, origin) in [
+        ("schedulers", "flag --set"),
+        ("limits.descriptors", "f.toml"),
+        ("limits.memory", "flag --set"),
+        ("back.http.keep_idle", "default"),
+        ("classes[0].aim", "default"),
+    ] {
+        assert_eq!(effective.origin(key), origin, "{key}");
+    }
+    let listing = effective.listing();
+    assert!(
+        listing.lines().any(|line| line.starts_with("schedulers = 3 ") && line.ends_with("# flag --set"))
+    );
+    for bad in ["limits", "=3", "a..b=3", "limits.memory=lots", "limits.nothing=1", "limits=3"] {
+        let error = read_text(None, &[bad.to_owned()], &AROUND).expect_err(bad);
+        assert!(error.to_string().starts_with("flag --set"), "{bad}: {error}");
+    }
+}
+
+#[test]
+fn the_defaults_file_is_the_default_and_the_example_is_good() {
+    let text = commented_default().expect("a default");
+    assert_eq!(read(&text).expect("good").config, Config::default());
+    let start = read(EXAMPLE).expect("good").config.start(7).expect("a start");
+    assert_eq!((start.seed, start.sockets, start.memory_mb), (7, 1024, 192.0));
+    assert_eq!(start.given.node.classes, ["status", "indienen", "uitbetaling"]);
+    let keyed = Effect::Keyed { scope: KeyScope::Zone, window: 12 * SECOND };
+    assert_eq!(start.given.node.effects, [Effect::Safe, keyed, Effect::Unsafe]);
+    assert_eq!(start.given.decisions.classes[2].deadline, 7_500_000);
+    let SourceSpec::Fixed(list) = start.source else { panic!("a fixed list") };
+    assert_eq!((list.members.len(), &*list.members[1].zone), (2, "b"));
+}
+
+// The page is made from the types: `cargo run -p copperspread -- config page > docs/configuration.md`.
+#[test]
+fn the_reference_page_is_not_stale() {
+    let kept = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/configuration.md"));
+    assert!(kept.expect("the page") == page(), "make docs/configuration.md anew");
+}
+
+#[test]
+fn every_key_of_the_schema_has_a_description() {
+    fn walk(path: &str, schema: &serde_json::Value) {
+        for (name, of) in schema["properties"].as_object().into_iter().flatten() {
+            assert!(of["description"].as_str().is_some_and(|text| text.len() > 5), "{path}.{name}");
+            walk(&format!("{path}.{name}"), of);
+            walk(&format!("{path}.{name}[]"), &of["items"]);
+        }
+    }
+    let schema = schema();
+    assert!(schema["properties"].as_object().expect("keys").len() > 10);
+    assert_eq!(schema["additionalProperties"], false);
+    walk("", &schema);
+}
+
+fn fixed() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    // A cut file is either refused, or good with what it still has: never a panic, never half a value.
+    #[test]
+    fn a_cut_file_is_refused_or_whole_in_what_it_sets(at in any::<prop::sample::Index>()) {
+        let cut = &EXAMPLE[..at.index(EXAMPLE.len())];
+        if let Ok(effective) = read(cut) {
+            prop_assert!(effective.config.start(1).is_ok());
+        }
+    }
+
+    #[test]
+    fn a_file_with_one_byte_changed_does_no_harm(at in any::<prop::sample::Index>(), byte: u8) {
+        let mut bytes = EXAMPLE.as_bytes().to_vec();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        if let Ok(effective) = read(&String::from_utf8_lossy(&bytes)) {
+            prop_assert!(effective.config.start(1).is_ok());
+        }
+    }
+
+    #[test]
+    fn garbage_does_no_harm(text in "[a-z\\[\\]={}\"'0-9.\n]{0,60}", flag in "\\PC{0,30}") {
+        let _ = read(&text);
+        let _ = read_text(None, &[flag], &AROUND);
+    }
+}
--- /dev/null
+++ b/crates/copperspread/src/cli.rs
@@ -0,0 +1,130 @@
+//! The command line.
+#[cfg(feature = "standalone")]
+use std::path::PathBuf;
+
+use clap::{CommandFactory, Parser, Subcommand};
+
+use crate::origin::Origin;
+use crate::serve;
+#[cfg(feature = "standalone")]
+use crate::standalone;
+
+/// Pushes jobs to workers: to the one with the lowest estimated finish time, or refuses on arrival.
+#[derive(Debug, Parser)]
+#[command(name = "copperspread", version, arg_required_else_help = false)]
+#[command(after_help = "With no command, EDGE_CONFIG must name the platform's configuration.")]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serve until SIGTERM; SIGHUP reads the configuration again
+    Serve(Serve),
+    /// Check a configuration and print what is in force, with each value's origin
+    #[cfg(feature = "standalone")]
+    Check {
+        #[command(flatten)]
+        layers: Layers,
+        /// The file: TOML, or the platform's JSON if it ends in .json; absent, the built-in default
+        file: Option<PathBuf>,
+    },
+    /// Describe the configuration
+    #[cfg(feature = "standalone")]
+    #[command(subcommand)]
+    Config(Describe),
+    /// Print a shell's completions
+    #[cfg(feature = "standalone")]
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+    /// Run a toy real server on 127.0.0.1:9001, and its discovery on 127.0.0.1:8500
+    #[cfg(feature = "toy")]
+    Toy {
+        /// The scheduler to call back
+        #[arg(long, default_value = "127.0.0.1:8081")]
+        scheduler: std::net::SocketAddr,
+    },
+}
+
+#[derive(Debug, Default, clap::Args)]
+struct Serve {
+    #[cfg(feature = "standalone")]
+    #[command(flatten)]
+    layers: Layers,
+    /// The configuration, TOML; absent, EDGE_CONFIG's if that is set, or else the built-in default
+    #[cfg(feature = "standalone")]
+    #[arg(long, env = "COPPERSPREAD_CONFIG", value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// Run a toy real server too, in place of the first worker of the static list
+    #[cfg(feature = "toy")]
+    #[arg(long)]
+    toy: bool,
+}
+
+#[cfg(feature = "standalone")]
+#[derive(Debug, Default, clap::Args)]
+pub(crate) struct Layers {
+    /// Set a value, before all else: --set limits.memory="64 MB"; may come several times
+    #[arg(long, value_name = "KEY=VALUE")]
+    pub(crate) set: Vec<String>,
+}
+
+#[cfg(feature = "standalone")]
+#[derive(Debug, Subcommand)]
+enum Describe {
+    /// The JSON Schema
+    Schema,
+    /// The built-in default, as a file with comments
+    Default,
+    /// The reference page, docs/configuration.md
+    Page,
+}
+
+/// Does what the command line asks for.
+pub fn run() -> Result<(), String> {
+    let line = Line::parse();
+    match line.command {
+        None if Origin::of_platform().is_none() => {
+            // As ever, one clear line; the help is for those who ask.
+            let name = Line::command().get_name().to_owned();
+            Err(format!("EDGE_CONFIG names no configuration, and no command was given; try `{name} --help`"))
+        }
+        None => serve_as(&Serve::default()),
+        Some(Command::Serve(serve)) => serve_as(&serve),
+        #[cfg(feature = "standalone")]
+        Some(Command::Check { layers, file }) => standalone::check(file.as_deref(), &layers.set),
+        #[cfg(feature = "standalone")]
+        Some(Command::Config(Describe::Schema)) => standalone::print(&standalone::schema()?),
+        #[cfg(feature = "standalone")]
+        Some(Command::Config(Describe::Default)) => standalone::print(&standalone::default()?),
+        #[cfg(feature = "standalone")]
+        Some(Command::Config(Describe::Page)) => standalone::print(&copperspread_config::page()),
+        #[cfg(feature = "standalone")]
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Line::command(), "copperspread", &mut std::io::stdout());
+            Ok(())
+        }
+        #[cfg(feature = "toy")]
+        Some(Command::Toy { scheduler }) => serve::toy(scheduler),
+    }
+}
+
+fn serve_as(asked: &Serve) -> Result<(), String> {
+    #[cfg(feature = "standalone")]
+    if asked.config.is_some() || !asked.layers.set.is_empty() || Origin::of_platform().is_none() {
+        let origin = Origin::Standalone {
+            file: asked.config.clone(),
+            flags: asked.layers.set.clone(),
+            seed: fastrand::u64(..),
+        };
+        return serve::run(&origin, asked.toy);
+    }
+    #[cfg(feature = "toy")]
+    let toy = asked.toy;
+    #[cfg(not(feature = "toy"))]
+    let (toy, _) = (false, asked);
+    serve::run(&Origin::of_platform().ok_or("EDGE_CONFIG names no configuration")?, toy)
+}
--- /dev/null
+++ b/crates/copperspread/src/serve.rs
@@ -0,0 +1,210 @@
+//! One scheduler: starts, serves until SIGTERM, answers what it has taken and ends. On SIGHUP it reads
+//! its configuration again.
+use std::sync::Arc;
+
+use copperspread_decisions::{Micros, SECOND};
+use copperspread_node::back::http::{CALL_BACK_PATH, RealServers, call_backs};
+use copperspread_node::clock::{Clock, from_now};
+use copperspread_node::decisions::Decisions;
+use copperspread_node::ending::Ending;
+use copperspread_node::entries::ServiceEntries;
+use copperspread_node::front::Front;
+use copperspread_node::front::http::{Guest, front};
+use copperspread_node::invariant::counts;
+use copperspread_node::node::Node;
+use copperspread_node::source::fixed::Fixed;
+use copperspread_node::source::targets::Targets;
+use copperspread_node::source::{Membership, Source};
+use copperspread_settings::{List, SourceSpec, Start};
+use http::uri::Authority;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+use tracing::{info, warn};
+
+use crate::logging::{self, Log};
+use crate::origin::{Origin, Told};
+
+/// The longest time that jobs get after SIGTERM, with half a second to the kill that follows at the
+/// soonest 0.7 s later.
+const ANSWERED_BY: Micros = 3 * SECOND + 200_000;
+/// New edge connections keep coming for some tenths of a second after SIGTERM.
+const LATECOMERS: Micros = SECOND;
+/// How often the end looks whether all is answered.
+const LOOK: Micros = 20_000;
+/// A file that is read again has not changed for this long.
+const SETTLE: Micros = 50_000;
+/// Time for the last answers to be written.
+const LAST_WORDS: Micros = 100_000;
+
+/// Where the program tells its source that the configuration names another list.
+enum Moving {
+    Targets(watch::Sender<Authority>),
+    Fixed(watch::Sender<List>),
+}
+
+impl Moving {
+    /// The source of a start, and the way to move it.
+    fn source(spec: &SourceSpec, known: Option<u64>) -> (Moving, Box<dyn Source>) {
+        match spec {
+            SourceSpec::Targets(address) => {
+                let (sender, address) = watch::channel(address.clone());
+                (Moving::Targets(sender), Box::new(Targets { address, known }))
+            }
+            SourceSpec::Fixed(list) => {
+                let (sender, list) = watch::channel(list.clone());
+                (Moving::Fixed(sender), Box::new(Fixed(list)))
+            }
+        }
+    }
+
+    /// Moves to what another configuration names; whether that is somewhere else.
+    fn follow(&self, spec: SourceSpec) -> bool {
+        match (self, spec) {
+            (Moving::Targets(sender), SourceSpec::Targets(new)) => sender.send_if_modified(|old| {
+                let moved = *old != new;
+                *old = new;
+                moved
+            }),
+            (Moving::Fixed(sender), SourceSpec::Fixed(new)) => sender.send_if_modified(|old| {
+                let moved = old.members != new.members;
+                // The table takes no list that is older than its own.
+                *old = List { revision: old.revision + 1, ..new };
+                moved
+            }),
+            _ => false,
+        }
+    }
+}
+
+/// Reads the configuration again, follows the source that it names and takes its log's level. Guards
+/// against one that cannot be used, half-written or wrong: the old one stays as a whole.
+fn read_again(origin: &Origin, started_with: &Start, source: &Moving, log: &Log) {
+    let told = origin.read().and_then(|told| log.follow(&told.log).map(|()| told));
+    let told = match told {
+        Ok(told) => told,
+        Err(why) => return warn!("the old configuration stays: {}", one_line(&why)),
+    };
+    let fixed = started_with.fixed_unlike(&told.start);
+    if !fixed.is_empty() {
+        warn!("changes only with a new start: {}", fixed.join(", "));
+    }
+    let moved = source.follow(told.start.source);
+    info!("read the configuration again, discovery {}", if moved { "moves" } else { "stays" });
+}
+
+fn one_line(text: &str) -> String {
+    text.replace('\n', "; ")
+}
+
+async fn serve(config: Start, origin: &Origin, log: &Log, toy: bool) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let clock = Clock::start();
+    let longest = config.given.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let entries = Arc::new(ServiceEntries::new(&config.given.node));
+    let given = config.given.clone();
+    let decisions = Decisions::new(given.decisions, config.seed, clock).map_err(|e| e.to_string())?;
+    let membership = Membership::new(Arc::clone(&entries), Arc::clone(&decisions));
+    let known = membership.remember(config.known.as_ref());
+    let node = Arc::new(Node {
+        clock,
+        decisions: Arc::clone(&decisions),
+        back: Arc::new(RealServers::new(&config.given.node, Arc::clone(&entries), config.sockets)),
+        settings: given.node,
+        ending: Ending::default(),
+    });
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let take = Arc::new(call_backs(entries, decisions));
+    let guest = Guest { path: CALL_BACK_PATH, take };
+    let edge = front(Arc::clone(&node), guest, listener, config.sockets, config.memory_mb);
+    let (moving, source) = Moving::source(&config.source, known);
+    tokio::spawn(source.follow(membership));
+    tokio::spawn(Arc::clone(&edge).accept());
+    info!("{} serves on {}", config.name, config.listen);
+    #[cfg(feature = "toy")]
+    if toy {
+        // It takes the place of the first worker listed.
+        let listed = match &config.source {
+            SourceSpec::Fixed(list) => list.members.first().map(|of| (of.id.clone(), of.address.to_string())),
+            SourceSpec::Targets(_) => None,
+        };
+        let (name, address) = listed.ok_or("--toy stands for the first worker of a static list")?;
+        let scheduler = config.listen;
+        tokio::spawn(async move {
+            if let Err(error) = crate::toy::serve(scheduler, &name, &address).await {
+                warn!(%error, "the toy does not run");
+            }
+        });
+    }
+    #[cfg(not(feature = "toy"))]
+    let _ = toy;
+
+    // What a reload waits for: the file's text as last seen, and when it is looked at again.
+    let mut settling: Option<(Vec<u8>, Instant)> = None;
+    loop {
+        let look = settling.as_ref().map_or_else(Instant::now, |(_, at)| *at);
+        tokio::select! {
+            biased;
+            // Also while a reload waits: it is then not carried out.
+            _ = term.recv() => break,
+            // Guards against an end by SIGHUP, also after SIGTERM: the handler stays.
+            _ = hup.recv() => match origin.unsettled() {
+                None => read_again(origin, &config, &moving, log),
+                Some(text) => settling = Some((text, from_now(SETTLE))),
+            },
+            // Guards against a file that is being written: cut short, it may still be a good one.
+            () = sleep_until(look), if settling.is_some() => {
+                let seen = settling.take().map(|(text, _)| text);
+                let now = origin.unsettled();
+                if now == seen {
+                    read_again(origin, &config, &moving, log);
+                } else {
+                    settling = now.map(|text| (text, from_now(SETTLE)));
+                }
+            }
+        }
+    }
+    let by = from_now(longest.min(ANSWERED_BY));
+    let latecomers = from_now(LATECOMERS);
+    node.ending.begin(by);
+    info!("ending, {} flows to answer", node.decisions.flows());
+    // Connections and call-backs are taken until the last.
+    while Instant::now() < latecomers || (Front::busy(&*edge) > 0 && Instant::now() < by) {
+        sleep_until(from_now(LOOK)).await;
+    }
+    sleep_until(from_now(LAST_WORDS)).await;
+    for (what, count) in counts() {
+        info!("{what}: {count} in all");
+    }
+    info!(log_lines_dropped = log.dropped(), "ended, {} requests left", Front::busy(&*edge));
+    Ok(())
+}
+
+/// Reads the configuration and serves by it.
+///
+/// # Errors
+/// A configuration that cannot be used, or an address that cannot be listened on.
+pub fn run(origin: &Origin, toy: bool) -> Result<(), String> {
+    let Told { start, log } = origin.read()?;
+    let log = logging::begin(&log)?;
+    runtime()?.block_on(serve(start, origin, &log, toy))
+}
+
+/// Runs the toy and its discovery.
+///
+/// # Errors
+/// An address that cannot be listened on.
+#[cfg(feature = "toy")]
+pub fn toy(scheduler: std::net::SocketAddr) -> Result<(), String> {
+    let _log = logging::begin(&logging::LogSpec::default())?;
+    runtime()?.block_on(crate::toy::serve_with_discovery(scheduler)).map_err(|e| e.to_string())
+}
+
+/// One core: one thread does all the work.
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("runtime: {e}"))
+}
--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -165,12 +165,17 @@
     )
 }
 
+pub async fn free_address() -> SocketAddr {
+    let free = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    free.local_addr().expect("an address")
+}
+
 /// The program, and the discovery it watches.
 pub struct Scheduler {
     pub address: SocketAddr,
     pub discovery: Party,
     pub child: Child,
-    path: PathBuf,
+    pub path: PathBuf,
     log: Lines<BufReader<ChildStderr>>,
 }
 
@@ -185,12 +190,27 @@
     pub async fn start(known: &[SocketAddr]) -> Scheduler {
         Scheduler::start_by("exec \"$PROGRAM\"", 1024, known).await
     }
+    /// A standalone one, by a file whose text depends on its address.
+    pub async fn standalone(text: impl Fn(SocketAddr) -> String, variables: &[(&str, &str)]) -> Scheduler {
+        Scheduler::standalone_with(&[], text, variables).await
+    }
+    pub async fn standalone_with(
+        flags: &[&str],
+        text: impl Fn(SocketAddr) -> String,
+        variables: &[(&str, &str)],
+    ) -> Scheduler {
+        let address = free_address().await;
+        let path = std::env::temp_dir().join(format!("copperspread-{}.toml", address.port()));
+        std::fs::write(&path, text(address)).expect("a configuration");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_copperspread"));
+        command.args(["serve", "--config"]).arg(&path).args(flags).envs(variables.iter().copied());
+        command.env_remove("EDGE_CONFIG");
+        Scheduler::run(command, address, Party::new().await, path).await
+    }
     /// The same by a shell's command, with so many descriptors in its configuration.
     pub async fn start_by(command: &str, sockets: u32, known: &[SocketAddr]) -> Scheduler {
         let discovery = Party::new().await;
-        let free = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = free.local_addr().expect("an address");
-        drop(free);
+        let address = free_address().await;
         let members: Vec<_> = known.iter().enumerate().collect();
         let members: Vec<_> =
             members.iter().map(|(i, at)| member(&format!("r{i}"), **at, "SERVING")).collect();
@@ -198,14 +218,15 @@
         let content = content.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
         let path = std::env::temp_dir().join(format!("copperspread-{}.json", address.port()));
         std::fs::write(&path, content).expect("a configuration");
-        let mut child = Command::new("sh")
+        let mut start = Command::new("sh");
+        start
             .args(["-c", command])
             .env("PROGRAM", env!("CARGO_BIN_EXE_copperspread"))
-            .env("EDGE_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .expect("it starts");
+            .env("EDGE_CONFIG", &path);
+        Scheduler::run(start, address, discovery, path).await
+    }
+    async fn run(mut command: Command, address: SocketAddr, discovery: Party, path: PathBuf) -> Scheduler {
+        let mut child = command.stderr(Stdio::piped()).kill_on_drop(true).spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
         let line = log.next_line().await.expect("a log").expect("a line");
         assert!(line.contains("serves on"), "{line}");
@@ -231,12 +252,24 @@
     pub async fn reload(&mut self, content: &str) -> Vec<String> {
         std::fs::write(&self.path, content).expect("a configuration");
         self.signal("HUP").await;
+        self.told_of_configuration().await
+    }
+    /// The log's lines up to the next that tells what came of a configuration.
+    pub async fn told_of_configuration(&mut self) -> Vec<String> {
         let mut lines = Vec::new();
         while lines.last().is_none_or(|line: &String| !line.contains("configuration")) {
-            lines.push(self.log.next_line().await.expect("a log").expect("a line"));
+            lines.push(self.line().await);
         }
         lines
     }
+    /// The log's next line.
+    pub async fn line(&mut self) -> String {
+        self.next_line().await.expect("a line")
+    }
+    /// The same, or nothing once the log has ended.
+    pub async fn next_line(&mut self) -> Option<String> {
+        self.log.next_line().await.expect("a log")
+    }
     pub async fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id().expect("it runs"));
         assert!(Command::new("sh").args(["-c", &kill]).status().await.expect("a shell").success());
--- /dev/null
+++ b/crates/copperspread/tests/standalone.rs
@@ -0,0 +1,167 @@
+//! The program without a platform, over sockets: its own configuration, its log, and both while they
+//! fail.
+#![cfg(feature = "standalone")]
+mod sockets;
+use std::net::SocketAddr;
+
+use sockets::*;
+
+const DONE: &str = r#""state":"done","result":"paid""#;
+
+/// A configuration with workers r0, r1, ... in this order.
+fn toml(listen: SocketAddr, workers: &[(&str, SocketAddr)]) -> String {
+    let mut text = format!("name = 'alone'\n[front.http]\nlisten = '{listen}'\n");
+    for (number, (state, address)) in workers.iter().enumerate() {
+        text += &format!("[[source.workers]]\nid = 'r{number}'\naddress = '{address}'\nstate = '{state}'\n");
+    }
+    text + "[[classes]]\nname = 'once'\naim = '9s'\n"
+}
+
+#[tokio::test]
+async fn a_static_list_serves_and_is_followed_on_sighup() {
+    let (mut one, mut two) = (Party::new().await, Party::new().await);
+    let at = [one.address, two.address];
+    let mut scheduler = Scheduler::standalone(|listen| toml(listen, &[("serving", at[0])]), &[]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 1, 9000).await;
+    let id = one.asked().await.accept();
+    let changed = toml(scheduler.address, &[("draining", at[0]), ("serving", at[1])]);
+    let lines = scheduler.reload(&changed).await;
+    assert!(lines[0].contains("discovery moves"), "{lines:?}");
+    // What was taken before ends where it is; what comes goes to the other.
+    assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+    assert_eq!(client.heard().await.expect("an answer").body, "paid");
+    for number in 2..5 {
+        client.job("once", number, 9000).await;
+        let id = two.asked().await.accept();
+        scheduler.call_back(&id, "r1", DONE).await;
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+    assert!(one.idle());
+    // Wrong in itself, wrong with another value, cut to nothing: each leaves the list as it is.
+    for bad in [changed.replace("9s", "9 sheep"), changed.replace("aim = '9s'", "aim = '99s'"), String::new()]
+    {
+        let lines = scheduler.reload(&bad).await;
+        assert!(lines[0].contains("the old configuration stays"), "{lines:?}");
+    }
+    client.job("once", 9, 9000).await;
+    two.asked().await.accept();
+}
+
+// Guards against a file that is replaced piece by piece while SIGHUP is heeded: its first half is a
+// good configuration by itself, one that would take the only worker away.
+#[tokio::test]
+async fn a_half_written_file_is_waited_for() {
+    let (one, mut two) = (Party::new().await, Party::new().await);
+    let at = [one.address, two.address];
+    let mut scheduler = Scheduler::standalone(|listen| toml(listen, &[("serving", at[0])]), &[]).await;
+    let whole = toml(scheduler.address, &[("draining", at[0]), ("serving", at[1])]);
+    let half = whole.find("[[source.workers]]\nid = 'r1'").expect("a second worker");
+    std::fs::write(&scheduler.path, &whole[..half]).expect("half a file");
+    scheduler.signal("HUP").await;
+    // Written on in pieces, each sooner than a file counts as settled.
+    let mut pen = tokio::time::interval(std::time::Duration::from_millis(10));
+    for end in (half..whole.len()).step_by(24).chain([whole.len()]) {
+        pen.tick().await;
+        std::fs::write(&scheduler.path, &whole[..end]).expect("more of it");
+    }
+    let lines = scheduler.told_of_configuration().await;
+    assert!(lines.len() == 1 && lines[0].contains("discovery moves"), "one reading, of the whole: {lines:?}");
+    let mut client = scheduler.client().await;
+    client.job("once", 1, 9000).await;
+    two.asked().await.accept();
+}
+
+#[tokio::test]
+async fn sigterm_during_a_reload_ends_the_program_with_all_answered() {
+    let mut one = Party::new().await;
+    let at = one.address;
+    let mut scheduler = Scheduler::standalone(|listen| toml(listen, &[("serving", at)]), &[]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 1, 9000).await;
+    let id = one.asked().await.accept();
+    scheduler.signal("HUP").await;
+    scheduler.terminate().await;
+    scheduler.signal("HUP").await;
+    let line = scheduler.line().await;
+    assert!(line.contains("ending, 1 flows to answer"), "the reload is not carried out any more: {line}");
+    assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    assert!(scheduler.child.wait().await.expect("it ends").success());
+}
+
+#[tokio::test]
+async fn the_log_is_json_with_spans_and_its_level_follows_sighup() {
+    let mut one = Party::new().await;
+    let at = one.address;
+    let mut scheduler = Scheduler::standalone(|listen| toml(listen, &[("serving", at)]), &[]).await;
+    let text = toml(scheduler.address, &[("serving", at)]);
+    // Quiet at info: the first line after the start is the reload's.
+    let mut client = scheduler.client().await;
+    client.job("once", 1, 9000).await;
+    let id = one.asked().await.accept();
+    scheduler.call_back(&id, "r0", DONE).await;
+    client.heard().await.expect("an answer");
+    let lines = scheduler.reload(&text.replace("[front", "[log]\nlevel = 'loud'\n[front")).await;
+    assert!(lines.len() == 1 && lines[0].contains("loud"), "{lines:?}");
+    let lines = scheduler.reload(&text.replace("[front", "[log]\nlevel = 'debug'\n[front")).await;
+    assert!(lines[0].contains("discovery stays"), "{lines:?}");
+    client.job("once", 2, 9000).await;
+    let id = one.asked().await.accept();
+    scheduler.call_back(&id, "r0", DONE).await;
+    client.heard().await.expect("an answer");
+    // The 202 may be heard after the call-back, so the two lines come in either order.
+    let (mut answered, mut handed) = (None, None);
+    while answered.is_none() || handed.is_none() {
+        let line: serde_json::Value = serde_json::from_str(&scheduler.line().await).expect("a JSON line");
+        match line["message"].as_str() {
+            Some("final answer") => answered = Some(line),
+            Some("handed over") => handed = Some(line),
+            _ => {}
+        }
+    }
+    let (answered, handed) = (answered.expect("a line"), handed.expect("a line"));
+    assert_eq!(answered["answer"], "served");
+    assert_eq!(answered["span"]["flow"], "0000000000000002");
+    assert_eq!(
+        (&handed["span"]["real_server"], &handed["spans"][0]["class"]),
+        (&"r0".into(), &"once".into())
+    );
+}
+
+// Guards against a log that nobody reads: its pipe fills, and the scheduler serves on and ends.
+#[tokio::test]
+async fn a_log_that_nobody_reads_neither_blocks_nor_ends_the_program() {
+    let mut one = Party::new().await;
+    let at = one.address;
+    let level = [("RUST_LOG", "trace")];
+    let mut scheduler = Scheduler::standalone(|listen| toml(listen, &[("serving", at)]), &level).await;
+    let mut client = scheduler.client().await;
+    // Some lines of some hundred bytes a job: more than a pipe holds, and nobody takes one.
+    for number in 1..400 {
+        client.job("once", number, 9000).await;
+        let id = one.asked().await.accept();
+        scheduler.call_back(&id, "r0", DONE).await;
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+    scheduler.terminate().await;
+    assert!(scheduler.child.wait().await.expect("it ends").success());
+    let mut lines = 0;
+    let mut bytes = 0;
+    while let Some(line) = scheduler.next_line().await {
+        (lines, bytes) = (lines + 1, bytes + line.len());
+    }
+    assert!(bytes > 60_000, "the pipe was full: {bytes} bytes in {lines} lines");
+}
+
+// The README's first command, with ports of the test's own.
+#[tokio::test]
+async fn the_default_serves_a_job_with_its_toy() {
+    let worker = free_address().await;
+    let text = |listen| toml(listen, &[("serving", worker)]);
+    let scheduler = Scheduler::standalone_with(&["--toy"], text, &[]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 7, 9000).await;
+    let answer = client.heard().await.expect("an answer");
+    assert_eq!((answer.status(), &*answer.body), (200, "0000000000000007 is done"));
+}
--- a/crates/node/src/back/http.rs
+++ b/crates/node/src/back/http.rs
@@ -304,6 +304,10 @@
             }
         }));
     }
+
+    fn name(&self, worker: WorkerId) -> Arc<str> {
+        self.entries.name(worker)
+    }
 }
 
 fn request(
--- a/crates/node/src/back/mod.rs
+++ b/crates/node/src/back/mod.rs
@@ -1,4 +1,6 @@
 //! The door to real servers.
+use std::sync::Arc;
+
 use copperspread_decisions::WorkerId;
 use futures_util::future::BoxFuture;
 use tokio::time::Instant;
@@ -21,4 +23,7 @@
 
     /// Tells a real server that a scheduling it has taken is no longer waited for. Does not wait.
     fn give_up(&self, worker: WorkerId, order: &Order);
+
+    /// A real server's name, for logs and records; empty if there is none of this number.
+    fn name(&self, worker: WorkerId) -> Arc<str>;
 }
--- a/crates/node/src/entries.rs
+++ b/crates/node/src/entries.rs
@@ -1,7 +1,7 @@
 //! The table of service entries, in the numbers that the decision module knows them by. It knows no
 //! source's own form.
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use copperspread_decisions::*;
 use copperspread_settings::{List, NodeSettings, Phase};
@@ -40,6 +40,8 @@
     kinds: Names,
     /// By worker id: where it is now, and its phase.
     entries: Vec<(Authority, Phase)>,
+    /// By worker id: its name.
+    names: Vec<Arc<str>>,
 }
 
 /// The table of service entries. An entry may change its address; its worker id stays.
@@ -57,6 +59,7 @@
             zones: Names::of(&settings.zones),
             kinds: Names::of(&settings.kinds),
             entries: Vec::new(),
+            names: Vec::new(),
         };
         ServiceEntries { table: Mutex::new(table) }
     }
@@ -88,7 +91,10 @@
             let entry = (member.address.clone(), member.phase);
             match table.entries.get_mut(number as usize) {
                 Some(known) => *known = entry,
-                None => table.entries.push(entry),
+                None => {
+                    table.entries.push(entry);
+                    table.names.push(member.id.as_str().into());
+                }
             }
             entries.push(WorkerEntry {
                 worker: WorkerId(number),
@@ -118,6 +124,11 @@
         self.table().entries.get(worker.0 as usize).map(|(address, _)| address.clone())
     }
 
+    /// A real server's name; empty if there is none of this number.
+    pub fn name(&self, worker: WorkerId) -> Arc<str> {
+        self.table().names.get(worker.0 as usize).cloned().unwrap_or_default()
+    }
+
     /// The worker id of a real server's name.
     pub fn worker(&self, name: &str) -> Option<WorkerId> {
         self.table().ids.numbers.get(name).copied().map(WorkerId)
--- a/crates/node/src/flow.rs
+++ b/crates/node/src/flow.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
+use tracing::{Instrument, debug, info_span};
 
 use crate::decisions::Mailbox;
 use crate::ending::earlier;
@@ -40,7 +41,9 @@
     let (mailbox, mail) = mpsc::unbounded_channel();
     let (sender, answer) = oneshot::channel();
     let flow = Flow { node: Arc::clone(node), demand, answer: Some(sender), schedulings: Vec::new() };
-    tokio::spawn(flow.live(mailbox.clone(), mail));
+    let class = node.settings.classes.get(flow.demand.job.class as usize).map_or("", String::as_str);
+    let span = tracing::info_span!("flow", flow = flow.demand.order.id, class);
+    tokio::spawn(flow.live(mailbox.clone(), mail).instrument(span));
     Held { answer, mailbox }
 }
 
@@ -86,8 +89,14 @@
                         let repeated = self.schedulings.iter().any(|s| s.worker == worker);
                         invariant!(!repeated, "a flow has one scheduling at a real server");
                         let (node, order) = (Arc::clone(&node), Arc::clone(&order));
-                        let (hand_over, handing) =
-                            abortable(async move { node.back.hand_over(worker, &order, deadline).await });
+                        let name = self.node.back.name(worker);
+                        let span = info_span!("scheduling", number, real_server = &*name);
+                        let hand_over = async move {
+                            let handed = node.back.hand_over(worker, &order, deadline).await;
+                            debug!(taken = handed.is_ok(), "handed over");
+                            handed
+                        };
+                        let (hand_over, handing) = abortable(hand_over.instrument(span));
                         let sent_at = self.node.clock.now();
                         self.schedulings.push(Scheduling { worker, sent_at, out: true, handing: Some(handing) });
                         if late || repeated || self.answer.is_none() {
@@ -140,6 +149,7 @@
 
     fn close(&mut self, answer: Answer) {
         if let Some(sender) = self.answer.take() {
+            debug!(answer = answer.word(), "final answer");
             let _ = sender.send(answer);
         }
     }
@@ -162,6 +172,7 @@
         let Some(scheduling) = self.schedulings.get_mut(number as usize).filter(|s| s.out) else { return };
         scheduling.out = false;
         let elapsed = self.node.clock.now().saturating_sub(scheduling.sent_at);
+        debug!(number, ?outcome, elapsed_us = elapsed, "a scheduling ended");
         if outcome == Outcome::Served {
             self.close(Answer::Served(result.unwrap_or_default()));
         }
--- a/crates/node/src/invariant.rs
+++ b/crates/node/src/invariant.rs
@@ -1,16 +1,10 @@
-//! What must hold: asserted in debug builds, counted in release builds. And the log, with
-//! its counts of what peers did wrong.
+//! What must hold: asserted in debug builds, counted in release builds. And the counts of what peers
+//! did wrong.
 use std::collections::BTreeMap;
-use std::io::Write;
 use std::sync::{Mutex, PoisonError};
 
 static COUNTS: Mutex<BTreeMap<&'static str, u64>> = Mutex::new(BTreeMap::new());
 
-/// Writes a line to the log. Guards against a log that nobody reads any more: no panic.
-pub fn log(line: std::fmt::Arguments<'_>) {
-    let _ = writeln!(std::io::stderr(), "copperspread: {line}");
-}
-
 /// Counts what did not hold.
 pub fn broken(what: &'static str) {
     note(what, "it does not hold");
@@ -23,7 +17,7 @@
     let count = counts.entry(what).or_default();
     *count += 1;
     if count.is_power_of_two() {
-        log(format_args!("{what} ({count} so far): {why}"));
+        tracing::warn!(count, why, "{what}");
     }
 }
 
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -57,6 +57,18 @@
     Repeated,
 }
 
+impl Answer {
+    /// What it is, in one word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+            Answer::Repeated => "repeated",
+        }
+    }
+}
+
 /// What became of a hand-over: the real server has the job and will send news of it, or the
 /// scheduling has ended already, perhaps with a load report.
 pub type Handed = Result<(), (Outcome, Option<Report>)>;
--- a/crates/node/tests/doors.rs
+++ b/crates/node/tests/doors.rs
@@ -34,6 +34,9 @@
             self.script.lock().expect("a lock").pop_front().unwrap_or(Ok(()))
         })
     }
+    fn name(&self, worker: WorkerId) -> Arc<str> {
+        format!("r{}", worker.0).into()
+    }
     fn give_up(&self, worker: WorkerId, _: &Order) {
         self.given_up.lock().expect("a lock").push(worker);
     }
