Record what happens as a stream that shows its own gaps, with the reasons of decisions

Need: after an incident the story had to be pieced together from log lines that had no numbers, no estimates and no reasons, and whose losses nobody could see.

Change: crates/records: typed JSON lines with run, number and both clocks, from a bounded queue by a thread of their own. What is dropped or lost leaves its number out and is told by a gap record; a failed write is cut off again; full, hanging, vanished and rotated files are each caused in a test. `copperspread records cat|stat` reads them, torn lines, gaps, disorder and clock steps included. Send and Refuse carry the estimate or the reason; the choices are the same. Off where EDGE_CONFIG is read.

--- a/crates/copperspread/src/cli.rs
+++ b/crates/copperspread/src/cli.rs
@@ -34,6 +34,10 @@
     #[cfg(feature = "standalone")]
     #[command(subcommand)]
     Config(Describe),
+    /// Read records
+    #[cfg(feature = "standalone")]
+    #[command(subcommand)]
+    Records(Records),
     /// Print a shell's completions
     #[cfg(feature = "standalone")]
     Completions {
@@ -49,6 +53,30 @@
     },
 }
 
+#[cfg(feature = "standalone")]
+#[derive(Debug, Subcommand)]
+enum Records {
+    /// Print the records as they are, without what is no record; what is missing goes to standard error
+    Cat {
+        /// The file
+        file: PathBuf,
+        /// Only those that name this flow
+        #[arg(long)]
+        flow: Option<String>,
+        /// The files put aside before it too, oldest first
+        #[arg(long)]
+        all: bool,
+    },
+    /// Sum them up: runs, gaps, disorder, and what clients got
+    Stat {
+        /// The file
+        file: PathBuf,
+        /// The files put aside before it too, oldest first
+        #[arg(long)]
+        all: bool,
+    },
+}
+
 #[derive(Debug, Default, clap::Args)]
 struct Serve {
     #[cfg(feature = "standalone")]
@@ -103,6 +131,12 @@
         #[cfg(feature = "standalone")]
         Some(Command::Config(Describe::Page)) => standalone::print(&copperspread_config::page()),
         #[cfg(feature = "standalone")]
+        Some(Command::Records(Records::Cat { file, flow, all })) => {
+            standalone::records_cat(&file, flow.as_deref(), all)
+        }
+        #[cfg(feature = "standalone")]
+        Some(Command::Records(Records::Stat { file, all })) => standalone::records_stat(&file, all),
+        #[cfg(feature = "standalone")]
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "copperspread", &mut std::io::stdout());
             Ok(())
--- a/crates/copperspread/src/origin.rs
+++ b/crates/copperspread/src/origin.rs
@@ -1,6 +1,7 @@
 //! Where a configuration comes from, and what all forms of it come to.
 use std::path::{Path, PathBuf};
 
+use copperspread_records::writer;
 use copperspread_settings::{Start, platform};
 
 use crate::logging::LogSpec;
@@ -29,6 +30,8 @@
     pub start: Start,
     /// The log.
     pub log: LogSpec,
+    /// The records, if any are kept. The platform has no disk that lasts: none there.
+    pub records: Option<writer::Spec>,
 }
 
 impl Origin {
@@ -55,7 +58,9 @@
     /// What is wrong, with its place; perhaps several lines.
     pub fn read(&self) -> Result<Told, String> {
         match self {
-            Origin::Platform(path) => Ok(Told { start: of_platform_file(path)?, log: LogSpec::default() }),
+            Origin::Platform(path) => {
+                Ok(Told { start: of_platform_file(path)?, log: LogSpec::default(), records: None })
+            }
             #[cfg(feature = "standalone")]
             Origin::Standalone { file, flags, seed } => {
                 crate::standalone::read(file.as_deref(), flags, *seed)
--- a/crates/copperspread/src/serve.rs
+++ b/crates/copperspread/src/serve.rs
@@ -10,11 +10,14 @@
 use copperspread_node::entries::ServiceEntries;
 use copperspread_node::front::Front;
 use copperspread_node::front::http::{Guest, front};
-use copperspread_node::invariant::counts;
+use copperspread_node::invariant::{counts, hear};
 use copperspread_node::node::Node;
 use copperspread_node::source::fixed::Fixed;
 use copperspread_node::source::targets::Targets;
 use copperspread_node::source::{Membership, Source};
+use copperspread_node::witness::Witness;
+use copperspread_records::What;
+use copperspread_records::writer::{self, Counts, Recorder};
 use copperspread_settings::{List, SourceSpec, Start};
 use http::uri::Authority;
 use tokio::net::TcpListener;
@@ -98,14 +101,26 @@
     text.replace('\n', "; ")
 }
 
-async fn serve(config: Start, origin: &Origin, log: &Log, toy: bool) -> Result<(), String> {
+async fn serve(
+    config: Start,
+    origin: &Origin,
+    log: &Log,
+    recorder: &Recorder,
+    toy: bool,
+) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let longest = config.given.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let entries = Arc::new(ServiceEntries::new(&config.given.node));
     let given = config.given.clone();
-    let decisions = Decisions::new(given.decisions, config.seed, clock).map_err(|e| e.to_string())?;
+    let witness = Witness::new(recorder.clone(), Arc::clone(&entries), &given.node);
+    let decisions = Decisions::new(given.decisions, config.seed, clock, Arc::clone(&witness));
+    let decisions = decisions.map_err(|e| e.to_string())?;
+    let hearer = Arc::clone(&witness);
+    hear(Box::new(move |what, count| hearer.limit(what, count)));
+    let (name, program) = (config.name.clone(), env!("CARGO_PKG_VERSION").into());
+    recorder.record(What::RunStarted { name, program });
     let membership = Membership::new(Arc::clone(&entries), Arc::clone(&decisions));
     let known = membership.remember(config.known.as_ref());
     let node = Arc::new(Node {
@@ -113,6 +128,7 @@
         decisions: Arc::clone(&decisions),
         back: Arc::new(RealServers::new(&config.given.node, Arc::clone(&entries), config.sockets)),
         settings: given.node,
+        witness,
         ending: Ending::default(),
     });
     let listener = TcpListener::bind(config.listen).await;
@@ -179,6 +195,7 @@
     for (what, count) in counts() {
         info!("{what}: {count} in all");
     }
+    recorder.record(What::RunEnded { requests_left: Front::busy(&*edge) as u64 });
     info!(log_lines_dropped = log.dropped(), "ended, {} requests left", Front::busy(&*edge));
     Ok(())
 }
@@ -188,9 +205,25 @@
 /// # Errors
 /// A configuration that cannot be used, or an address that cannot be listened on.
 pub fn run(origin: &Origin, toy: bool) -> Result<(), String> {
-    let Told { start, log } = origin.read()?;
+    let Told { start, log, records } = origin.read()?;
     let log = logging::begin(&log)?;
-    runtime()?.block_on(serve(start, origin, &log, toy))
+    let (recorder, writer) = match records {
+        None => (Recorder::off(), None),
+        Some(spec) => {
+            let name = spec.file.display().to_string();
+            let (recorder, writer) = writer::begin(spec).map_err(|e| format!("records.file: {name}: {e}"))?;
+            (recorder, Some(writer))
+        }
+    };
+    let runtime = runtime()?;
+    let served = runtime.block_on(serve(start, origin, &log, &recorder, toy));
+    if let Some(writer) = writer {
+        recorder.close();
+        let whole = writer.finish();
+        let Counts { written, dropped, lost } = recorder.counts();
+        info!(written, dropped, lost, whole, "records closed");
+    }
+    served
 }
 
 /// Runs the toy and its discovery.
--- a/crates/copperspread/src/standalone.rs
+++ b/crates/copperspread/src/standalone.rs
@@ -3,6 +3,9 @@
 use std::path::Path;
 
 use copperspread_config::{Effective, LogFormat, Surroundings};
+use copperspread_records::reader::{Line, Reader};
+use copperspread_records::report::Report;
+use copperspread_records::writer;
 use rustix::process::{Resource, getrlimit};
 
 use crate::logging::{self, LogSpec};
@@ -34,7 +37,14 @@
 /// All that is wrong, a line each.
 pub fn read(file: Option<&Path>, flags: &[String], seed: u64) -> Result<Told, String> {
     let (effective, log) = effective(file, flags)?;
-    Ok(Told { start: effective.config.start(seed)?, log })
+    let kept = &effective.config.records;
+    let records = kept.file.clone().map(|file| writer::Spec {
+        file,
+        rotate_at: kept.rotate_at.0,
+        keep: kept.keep,
+        queue: kept.queue as usize,
+    });
+    Ok(Told { start: effective.config.start(seed)?, log, records })
 }
 
 /// Checks a configuration and prints what is in force.
@@ -79,6 +89,67 @@
     copperspread_config::commented_default()
 }
 
+/// Feeds a report with a file's lines, and before them those of the files put aside if `all`; `each` is
+/// called with each line.
+fn read_records(
+    file: &Path,
+    all: bool,
+    mut each: impl FnMut(&Line) -> Result<(), String>,
+) -> Result<Report, String> {
+    let mut files = vec![file.to_owned()];
+    if all {
+        files.extend((1..).map(|number| writer::aside(file, number)).take_while(|path| path.exists()));
+        files.reverse();
+    }
+    let mut report = Report::default();
+    for path in files {
+        let named = |error: std::io::Error| format!("{}: {error}", path.display());
+        let input = std::io::BufReader::new(std::fs::File::open(&path).map_err(named)?);
+        for line in Reader::new(input) {
+            let (number, line) = line.map_err(named)?;
+            report.add(number, &line);
+            each(&line)?;
+        }
+    }
+    Ok(report)
+}
+
+/// Prints records, and on standard error what is missing among them or is none.
+///
+/// # Errors
+/// A file that cannot be read.
+pub fn records_cat(file: &Path, flow: Option<&str>, all: bool) -> Result<(), String> {
+    let mut out = std::io::BufWriter::new(std::io::stdout().lock());
+    let mut gone = false;
+    let report = read_records(file, all, |line| {
+        let Line::Record(record) = line else { return Ok(()) };
+        let text = serde_json::to_string(record).map_err(|e| e.to_string())?;
+        // Ids are hex digits: the quoted id stands nowhere else.
+        let wanted = flow.is_none_or(|flow| text.contains(&format!("\"flow\":\"{flow}\"")));
+        gone |= wanted && writeln!(out, "{text}").is_err();
+        Ok(())
+    })?;
+    gone |= out.flush().is_err();
+    let missing: u64 = report.runs.iter().map(|run| run.missing).sum();
+    let disorder: u64 = report.runs.iter().map(|run| run.disorder).sum();
+    if !gone && (missing > 0 || disorder > 0 || report.bad_count > 0 || report.torn) {
+        eprintln!(
+            "{missing} records are missing, {disorder} out of order; {} lines are none{}",
+            report.bad_count,
+            if report.torn { "; the last is torn" } else { "" },
+        );
+    }
+    Ok(())
+}
+
+/// Prints what a stream of records came to.
+///
+/// # Errors
+/// A file that cannot be read.
+pub fn records_stat(file: &Path, all: bool) -> Result<(), String> {
+    print(&read_records(file, all, |_| Ok(()))?.text())
+}
+
 /// Prints to standard output. Guards against a reader that has gone, as `head` does.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/copperspread/tests/records.rs
@@ -0,0 +1,146 @@
+//! The program's records, as it writes them and as it reads them back.
+#![cfg(feature = "standalone")]
+mod sockets;
+use std::path::{Path, PathBuf};
+
+use sockets::*;
+
+const DONE: &str = r#""state":"done","result":"paid","load":{"x0":1.5}"#;
+
+fn scratch(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("copperspread-{}-{name}.jsonl", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    path
+}
+
+async fn start(worker: &Party, file: &Path) -> Scheduler {
+    let (at, file) = (worker.address, file.display().to_string());
+    let text = move |listen| {
+        format!(
+            "[front.http]\nlisten = '{listen}'\n[records]\nfile = '{file}'\n\
+             [[source.workers]]\nid = 'r0'\naddress = '{at}'\n[[classes]]\nname = 'once'\naim = '9s'\n"
+        )
+    };
+    Scheduler::standalone(text, &[]).await
+}
+
+fn read(arguments: &[&str], file: &Path) -> (String, String) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_copperspread"))
+        .args(arguments)
+        .arg(file)
+        .output()
+        .expect("it runs");
+    assert!(output.status.success());
+    let text = |bytes| String::from_utf8(bytes).expect("UTF-8");
+    (text(output.stdout), text(output.stderr))
+}
+
+#[tokio::test]
+async fn a_flow_is_recorded_from_its_taking_to_its_answer() {
+    let mut worker = Party::new().await;
+    let file = scratch("flow");
+    let mut scheduler = start(&worker, &file).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 1, 9000).await;
+    let id = worker.asked().await.accept();
+    scheduler.call_back(&id, "r0", DONE).await;
+    client.heard().await.expect("an answer");
+    // One that is refused: it would end later than its client waits.
+    client.job("once", 2, 0).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 503);
+    scheduler.terminate().await;
+    assert!(scheduler.child.wait().await.expect("it ends").success());
+    let (out, err) = read(&["records", "cat", "--flow", "0000000000000001"], &file);
+    assert_eq!(err, "");
+    let records: Vec<serde_json::Value> =
+        out.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+    let kinds: Vec<_> = records.iter().map(|of| of["what"]["kind"].as_str().expect("a kind")).collect();
+    let mut sorted = kinds.clone();
+    sorted.sort_unstable();
+    let all = ["answered", "decided", "flow_taken", "scheduling_ended", "scheduling_sent"];
+    assert_eq!(sorted, all, "each of them once");
+    assert_eq!((kinds[0], kinds[1]), ("flow_taken", "decided"));
+    let (decided, ended) =
+        (&records[1]["what"], records.iter().find(|of| of["what"]["kind"] == "scheduling_ended"));
+    assert_eq!((&decided["choice"], &decided["real_server"]), (&"send".into(), &"r0".into()));
+    assert!(decided["estimate_us"].as_u64().is_some_and(|us| us > 0), "{decided}");
+    let ended = &ended.expect("an end")["what"];
+    assert_eq!((&ended["outcome"], &ended["free_slots"]), (&"served".into(), &1.5.into()));
+    let (stat, _) = read(&["records", "stat"], &file);
+    assert!(stat.contains("class once: taken 2, refused 1, served 1"), "{stat}");
+    assert!(stat.contains("ended\n") && !stat.contains("missing"), "{stat}");
+    let _ = std::fs::remove_file(&file);
+}
+
+#[tokio::test]
+async fn a_killed_run_is_read_up_to_its_end_and_the_next_one_goes_on() {
+    let mut worker = Party::new().await;
+    let file = scratch("killed");
+    for run in 1..3 {
+        let mut scheduler = start(&worker, &file).await;
+        let mut client = scheduler.client().await;
+        client.job("once", run, 9000).await;
+        worker.asked().await;
+        // Its records are on the way once the job is; the kill comes when they have arrived.
+        while !std::fs::read_to_string(&file)
+            .is_ok_and(|text| text.matches("scheduling_sent").count() == run as usize)
+        {
+            tokio::task::yield_now().await;
+        }
+        scheduler.signal("KILL").await;
+        scheduler.child.wait().await.expect("it ends");
+        // What a crash may leave.
+        let mut text = std::fs::read(&file).expect("a file");
+        text.extend_from_slice(b"{\"v\":1,\"run\":\"torn");
+        std::fs::write(&file, text).expect("a torn line");
+    }
+    let (stat, _) = read(&["records", "stat"], &file);
+    assert_eq!(stat.matches("no end recorded").count(), 2, "{stat}");
+    assert!(stat.contains("is no record") && stat.contains("the last line has no end"), "{stat}");
+    let (out, err) = read(&["records", "cat"], &file);
+    assert_eq!(out.matches("run_started").count(), 2);
+    assert!(err.contains("1 lines are none; the last is torn"), "{err}");
+    let _ = std::fs::remove_file(&file);
+}
+
+#[tokio::test]
+async fn a_full_disk_stops_no_job_and_the_platform_keeps_no_records() {
+    let mut worker = Party::new().await;
+    let scheduler = start(&worker, Path::new("/dev/full")).await;
+    let mut client = scheduler.client().await;
+    for number in 1..20 {
+        client.job("once", number, 9000).await;
+        let id = worker.asked().await.accept();
+        scheduler.call_back(&id, "r0", DONE).await;
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+    drop(scheduler);
+    // Where the platform's file is read, no variable begins a record: its disk does not last.
+    let file = scratch("platform");
+    let command = format!("COPPERSPREAD_RECORDS__FILE='{}' exec \"$PROGRAM\" serve", file.display());
+    let mut scheduler = Scheduler::start_by(&command, 1024, &[worker.address]).await;
+    let mut client = scheduler.client().await;
+    client.job("once", 1, 9000).await;
+    let id = worker.asked().await.accept();
+    scheduler.call_back(&id, "r0", DONE).await;
+    client.heard().await.expect("an answer");
+    scheduler.terminate().await;
+    assert!(scheduler.child.wait().await.expect("it ends").success() && !file.exists());
+}
+
+#[tokio::test]
+async fn a_file_that_another_scheduler_writes_ends_the_start() {
+    let worker = Party::new().await;
+    let file = scratch("two");
+    let _first = start(&worker, &file).await;
+    let set =
+        [format!("records.file={}", file.display()), format!("front.http.listen={}", free_address().await)];
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_copperspread"))
+        .env_remove("EDGE_CONFIG")
+        .args(["serve", "--set", &set[0], "--set", &set[1]])
+        .output()
+        .expect("it runs");
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && said.contains("another process writes it"), "{said}");
+    let _ = std::fs::remove_file(&file);
+}
--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -228,8 +228,7 @@
     async fn run(mut command: Command, address: SocketAddr, discovery: Party, path: PathBuf) -> Scheduler {
         let mut child = command.stderr(Stdio::piped()).kill_on_drop(true).spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let line = log.next_line().await.expect("a log").expect("a line");
-        assert!(line.contains("serves on"), "{line}");
+        while !log.next_line().await.expect("a log").expect("it serves").contains("serves on") {}
         Scheduler { address, discovery, child, path, log }
     }
     pub async fn client(&self) -> Client {
--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -689,7 +689,7 @@
     /// The ready worker with the lowest estimate that keeps to the rules, if the job passes its
     /// gate; ties at random. Otherwise, when to come back: the jobs there must first shrink by as
     /// much as the estimate exceeds the time left; with no worker at all, a round later.
-    fn pick(&mut self, now: Micros, job: &Request) -> Result<usize, Micros> {
+    fn pick(&mut self, now: Micros, job: &Request) -> Result<usize, (Micros, Refusal)> {
         let class = &self.settings.classes[job.class];
         let bound = class.worker_kind;
         let group = match (class.effect, job.may_have_run()) {
@@ -743,9 +743,9 @@
                 best = Some((index, rank, estimate));
             }
         }
-        let (index, _, estimate) = best.ok_or(SWEEP)?;
+        let (index, _, estimate) = best.ok_or((SWEEP, Refusal::NoWorker))?;
         let excess = estimate - self.time_left(now, &self.workers[index], job);
-        if excess <= 0.0 { Ok(index) } else { Err(span(excess)) }
+        if excess <= 0.0 { Ok(index) } else { Err((span(excess), Refusal::Late(span(excess)))) }
     }
 
     // ---- Cold workers ----------------------------------------------------------------------
@@ -790,9 +790,9 @@
 
     fn on_job(&mut self, now: Micros, job: Job, actions: &mut Vec<Action>) {
         let class = job.class as usize;
-        let refuse = |retry_after| Action::Refuse { request: job.request, retry_after };
+        let refuse = |retry_after, why| Action::Refuse { request: job.request, retry_after, why };
         if class >= self.settings.classes.len() || job.time_left == 0 {
-            actions.push(refuse(SWEEP));
+            actions.push(refuse(SWEEP, Refusal::Invalid));
             return;
         }
         if self.requests.contains_key(&job.request) {
@@ -829,7 +829,7 @@
         self.mean_slots += (request.slots - self.mean_slots) * BUSY_GAIN;
         if self.shed(now, &request, job.tenant) {
             // Slots are scarce: about one usual job later some of them are free.
-            actions.push(refuse(span(self.job_time)));
+            actions.push(refuse(span(self.job_time), Refusal::Scarce));
             return;
         }
         match self.pick(now, &request) {
@@ -837,7 +837,7 @@
                 self.send(now, job.request, &mut request, index, actions);
                 self.requests.insert(job.request, request);
             }
-            Err(retry_after) => actions.push(refuse(retry_after)),
+            Err((retry_after, why)) => actions.push(refuse(retry_after, why)),
         }
     }
 
@@ -903,7 +903,8 @@
             estimate,
             overdue: false,
         });
-        actions.push(Action::Send { request: id, worker: WorkerId(index as u32) });
+        let (worker, estimate) = (WorkerId(index as u32), span(estimate));
+        actions.push(Action::Send { request: id, worker, estimate });
         if self.settings.tells_start && self.may_copy(now, request) {
             let worker = &self.workers[index];
             let slack = self.time_left(now, worker, request) - request.work / worker.service_rate;
@@ -1057,17 +1058,17 @@
 
     /// Another attempt through the same estimate and gate, or else the final answer.
     fn resend(&mut self, now: Micros, id: RequestId, request: &mut Request, actions: &mut Vec<Action>) {
-        let mut retry_after = span(self.job_time);
+        let (mut retry_after, mut why) = (span(self.job_time), Refusal::Spent);
         if self.may_resend(now, request) {
             match self.pick(now, request) {
                 Ok(index) => return self.send(now, id, request, index, actions),
-                Err(after) => retry_after = after,
+                Err(refused) => (retry_after, why) = refused,
             }
         }
         request.finished = true;
         self.cancel_others(id, request, actions);
         actions.push(if self.may_refuse(request) && now < request.deadline {
-            Action::Refuse { request: id, retry_after }
+            Action::Refuse { request: id, retry_after, why }
         } else {
             Action::Fail { request: id }
         });
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -354,6 +354,21 @@
     },
 }
 
+/// Why a request is turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its class is unknown, or no time is left.
+    Invalid,
+    /// Slots are scarce, and it is worth too little.
+    Scarce,
+    /// No worker may have it.
+    NoWorker,
+    /// The lowest estimate exceeds the time left, by this much.
+    Late(Micros),
+    /// Its attempts are spent, or its class allows no more.
+    Spent,
+}
+
 /// What the node is to do, in order.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
@@ -363,6 +378,8 @@
         request: RequestId,
         /// The worker.
         worker: WorkerId,
+        /// How long from now until it ends there, as estimated.
+        estimate: Micros,
     },
     /// Final answer: turned away, harmless to try again.
     Refuse {
@@ -370,6 +387,8 @@
         request: RequestId,
         /// How long the client should stay away: sooner, it would be turned away once more.
         retry_after: Micros,
+        /// Why.
+        why: Refusal,
     },
     /// Final answer: failed, nothing promised.
     Fail {
--- a/crates/decisions/tests/gate.rs
+++ b/crates/decisions/tests/gate.rs
@@ -226,6 +226,7 @@
     assert!(last > 0 && last < 10 * SECOND, "{last}");
     // Nobody to send to: a round later the list may have changed.
     let mut alone = Node::new(settings(Effect::Unsafe), &[]);
-    let refusal = Action::Refuse { request: RequestId(1), retry_after: SECOND };
+    let why = Refusal::NoWorker;
+    let refusal = Action::Refuse { request: RequestId(1), retry_after: SECOND, why };
     assert_eq!(alone.job(1, 0.5), [refusal]);
 }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -292,12 +292,12 @@
 
 fn write(out: &mut impl Write, node: &str, instance: &Instance, action: &Action) -> io::Result<()> {
     match *action {
-        Action::Send { request, worker } => {
+        Action::Send { request, worker, .. } => {
             let name = &instance.names[worker.0 as usize];
             let id = request.0;
             writeln!(out, r#"{{"kind":"pass_on","node_id":"{node}","req":"{id:016x}","executor":"{name}"}}"#)
         }
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             write!(out, r#"{{"kind":"busy","node_id":"{node}","req":"{:016x}""#, request.0)?;
             if instance.tells_when {
                 write!(out, r#","retry_after_s":{}"#, seconds(retry_after))?;
--- a/crates/node/src/decisions.rs
+++ b/crates/node/src/decisions.rs
@@ -11,6 +11,7 @@
 use crate::clock::{Clock, from_now};
 use crate::invariant;
 use crate::order::{Mail, News};
+use crate::witness::Witness;
 
 /// The sending end of a flow's mailbox.
 pub type Mailbox = mpsc::UnboundedSender<Mail>;
@@ -52,12 +53,18 @@
     clock: Clock,
     on_request: bool,
     inner: Mutex<Inner>,
+    witness: Arc<Witness>,
     subscribe: Notify,
 }
 
 impl Decisions {
     /// Makes the dispatcher.
-    pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Arc<Decisions>, SettingsError> {
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        witness: Arc<Witness>,
+    ) -> Result<Arc<Decisions>, SettingsError> {
         let on_request = settings.discovery == Discovery::OnRequest;
         let dispatcher = Dispatcher::new(settings, seed)?;
         let inner = Inner {
@@ -67,7 +74,13 @@
             actions: Vec::new(),
             version: 0,
         };
-        Ok(Arc::new(Decisions { clock, on_request, inner: Mutex::new(inner), subscribe: Notify::new() }))
+        Ok(Arc::new(Decisions {
+            clock,
+            on_request,
+            inner: Mutex::new(inner),
+            witness,
+            subscribe: Notify::new(),
+        }))
     }
 
     /// Hands over one event; what comes of it is in the mailboxes, in order, when this returns.
@@ -80,9 +93,10 @@
         let mut actions = std::mem::take(&mut inner.actions);
         event(&mut inner, self.clock.now(), &mut actions);
         for action in actions.drain(..) {
+            self.witness.decided(&action);
             let (request, mail) = match action {
-                Action::Send { request, worker } => (request, Mail::Send(worker)),
-                Action::Refuse { request, retry_after } => (request, Mail::Refuse(retry_after)),
+                Action::Send { request, worker, .. } => (request, Mail::Send(worker)),
+                Action::Refuse { request, retry_after, .. } => (request, Mail::Refuse(retry_after)),
                 Action::Fail { request } => (request, Mail::Fail),
                 Action::Cancel { request, attempt } => (request, Mail::Cancel(attempt)),
                 Action::Wake { after, timer } => {
@@ -118,6 +132,7 @@
             if let Entry::Vacant(place) = inner.flows.entry(job.request) {
                 place.insert(mailbox);
                 fresh = true;
+                self.witness.taken(&job);
                 inner.dispatcher.handle(now, Event::Job(job), actions);
             }
         });
@@ -144,6 +159,7 @@
     pub fn roster(self: &Arc<Self>, kind: RosterKind, entries: &[WorkerEntry]) {
         self.with(|inner, now, actions| {
             inner.version += 1;
+            self.witness.roster(kind, entries);
             let roster = Roster { kind, version: inner.version, entries };
             inner.dispatcher.handle(now, Event::Roster(roster), actions);
         });
--- a/crates/node/src/flow.rs
+++ b/crates/node/src/flow.rs
@@ -40,7 +40,13 @@
 pub fn begin(node: &Arc<Node>, demand: Demand) -> Held {
     let (mailbox, mail) = mpsc::unbounded_channel();
     let (sender, answer) = oneshot::channel();
-    let flow = Flow { node: Arc::clone(node), demand, answer: Some(sender), schedulings: Vec::new() };
+    let flow = Flow {
+        node: Arc::clone(node),
+        demand,
+        answer: Some(sender),
+        schedulings: Vec::new(),
+        taken_at: node.clock.now(),
+    };
     let class = node.settings.classes.get(flow.demand.job.class as usize).map_or("", String::as_str);
     let span = tracing::info_span!("flow", flow = flow.demand.order.id, class);
     tokio::spawn(flow.live(mailbox.clone(), mail).instrument(span));
@@ -62,6 +68,7 @@
     demand: Demand,
     answer: Option<oneshot::Sender<Answer>>,
     schedulings: Vec<Scheduling>,
+    taken_at: Micros,
 }
 
 impl Flow {
@@ -102,6 +109,7 @@
                         if late || repeated || self.answer.is_none() {
                             self.end(number, Outcome::Moot, None, None);
                         } else {
+                            self.node.witness.sent(request, number, worker);
                             hand_overs.push(async move { (number, hand_over.await) });
                         }
                     }
@@ -111,6 +119,7 @@
                     Mail::News(worker, news) => self.hear(worker, news),
                     Mail::Gone => {
                         if self.answer.take().is_some() {
+                            self.tell_answer("gone");
                             node.decisions.gone(request);
                         }
                     }
@@ -150,10 +159,16 @@
     fn close(&mut self, answer: Answer) {
         if let Some(sender) = self.answer.take() {
             debug!(answer = answer.word(), "final answer");
+            self.tell_answer(answer.word());
             let _ = sender.send(answer);
         }
     }
 
+    fn tell_answer(&self, word: &'static str) {
+        let after = self.node.clock.now().saturating_sub(self.taken_at);
+        self.node.witness.answered(&self.demand.job, word, after);
+    }
+
     /// Takes a call-back. Guards against one that comes twice, or late for a scheduling that has
     /// ended; one that comes before the 202 counts like any other.
     fn hear(&mut self, worker: WorkerId, news: News) {
@@ -171,19 +186,17 @@
     fn end(&mut self, number: u32, outcome: Outcome, result: Option<Bytes>, report: Option<Report>) {
         let Some(scheduling) = self.schedulings.get_mut(number as usize).filter(|s| s.out) else { return };
         scheduling.out = false;
+        let worker = scheduling.worker;
         let elapsed = self.node.clock.now().saturating_sub(scheduling.sent_at);
         debug!(number, ?outcome, elapsed_us = elapsed, "a scheduling ended");
         if outcome == Outcome::Served {
             self.close(Answer::Served(result.unwrap_or_default()));
         }
-        self.node.decisions.outcome(AttemptOutcome {
-            request: self.demand.job.request,
-            attempt: number,
-            outcome,
-            finished: self.answer.is_none(),
-            elapsed,
-            report,
-        });
+        let finished = self.answer.is_none();
+        let request = self.demand.job.request;
+        let end = AttemptOutcome { request, attempt: number, outcome, finished, elapsed, report };
+        self.node.witness.ended(&end, worker);
+        self.node.decisions.outcome(end);
     }
 
     /// Stops waiting for a scheduling, and says so to the real server.
--- a/crates/node/src/invariant.rs
+++ b/crates/node/src/invariant.rs
@@ -1,10 +1,20 @@
 //! What must hold: asserted in debug builds, counted in release builds. And the counts of what peers
 //! did wrong.
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, OnceLock, PoisonError};
 
 static COUNTS: Mutex<BTreeMap<&'static str, u64>> = Mutex::new(BTreeMap::new());
 
+/// What hears of a count at its 1st, 2nd, 4th, 8th ... time.
+pub type Heard = Box<dyn Fn(&'static str, u64) + Send + Sync>;
+
+static HEARD: OnceLock<Heard> = OnceLock::new();
+
+/// Has the counts heard, once for all; a second hearer is not taken.
+pub fn hear(heard: Heard) {
+    let _ = HEARD.set(heard);
+}
+
 /// Counts what did not hold.
 pub fn broken(what: &'static str) {
     note(what, "it does not hold");
@@ -18,6 +28,9 @@
     *count += 1;
     if count.is_power_of_two() {
         tracing::warn!(count, why, "{what}");
+        if let Some(heard) = HEARD.get() {
+            heard(what, *count);
+        }
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod node;
 pub mod order;
 pub mod source;
+pub mod witness;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::decisions::Decisions;
 use crate::ending::Ending;
+use crate::witness::Witness;
 
 /// One scheduler.
 pub struct Node {
@@ -18,6 +19,8 @@
     pub back: Arc<dyn Back>,
     /// The settings that concern the node.
     pub settings: NodeSettings,
+    /// What tells the records.
+    pub witness: Arc<Witness>,
     /// The node's own ending.
     pub ending: Ending,
 }
--- a/crates/node/tests/doors.rs
+++ b/crates/node/tests/doors.rs
@@ -14,6 +14,8 @@
 use copperspread_node::order::{Answer, Demand, Handed, News, Order};
 use copperspread_node::source::fixed::Fixed;
 use copperspread_node::source::{Membership, Source};
+use copperspread_node::witness::Witness;
+use copperspread_records::writer::Recorder;
 use copperspread_settings::{List, Member, NodeSettings, Phase};
 use futures_util::future::BoxFuture;
 use tokio::sync::{mpsc, watch};
@@ -101,13 +103,15 @@
             max_retry_after: SECOND,
         };
         let clock = Clock::start();
-        let decisions = Decisions::new(settings, 7, clock).expect("good settings");
-        let back = Arc::new(MemoryBack { script: Mutex::new(script.to_vec().into()), ..Default::default() });
         let entries = Arc::new(ServiceEntries::new(&own));
+        let witness = Witness::new(Recorder::off(), Arc::clone(&entries), &own);
+        let decisions = Decisions::new(settings, 7, clock, Arc::clone(&witness)).expect("good settings");
+        let back = Arc::new(MemoryBack { script: Mutex::new(script.to_vec().into()), ..Default::default() });
         let (lists, lists_told) = mpsc::channel(4);
         let membership = Membership::new(entries, Arc::clone(&decisions));
         tokio::spawn(Box::new(MemorySource(lists_told)).follow(membership));
-        let node = Node { clock, decisions, back: back.clone(), settings: own, ending: Ending::default() };
+        let ending = Ending::default();
+        let node = Node { clock, decisions, back: back.clone(), settings: own, witness, ending };
         House { node: Arc::new(node), back, lists }
     }
     async fn told(&self, list: List) {
