--- a/crates/records/src/writer.rs
+++ b/crates/records/src/writer.rs
@@ -13,6 +13,9 @@
 
 /// A batch is written once it holds this much, or nothing more waits.
 const BATCH: usize = 64 * 1024;
+/// What comes within this time after a first record is written with it. Guards against a wake of the
+/// thread for each record, which costs more than the record.
+const GATHER: Duration = Duration::from_millis(20);
 /// A file that cannot be written is tried again, and one that can is looked after, this often.
 const LOOK: Duration = Duration::from_secs(1);
 /// Longest wait at the end for what is queued: a disk may hang.
@@ -216,6 +219,7 @@
         let batch = BATCH.min(self.spec.rotate_at as usize / 2);
         let mut lines = Vec::with_capacity(batch + 4096);
         while let Ok(first) = queue.recv() {
+            thread::sleep(GATHER);
             let (mut count, mut next) = (0, self.next);
             let mut more = Some(first);
             while let Some(record) = more.take() {
