Prove the front's door in memory, and the least limits with records on

Need: the tests had a second back and source but began flows directly, and nothing of our own showed 32 MB and 256 descriptors with records and log on.

Change: a front in memory that accepts, counts and words answers; a test that holds 150 open flows within 32 MB and 256 descriptors, counted from the process itself.

--- a/crates/copperspread/tests/records.rs
+++ b/crates/copperspread/tests/records.rs
@@ -14,10 +14,14 @@
 }
 
 async fn start(worker: &Party, file: &Path) -> Scheduler {
+    start_within(worker, file, "").await
+}
+
+async fn start_within(worker: &Party, file: &Path, limits: &str) -> Scheduler {
     let (at, file) = (worker.address, file.display().to_string());
     let text = move |listen| {
         format!(
-            "[front.http]\nlisten = '{listen}'\n[records]\nfile = '{file}'\n\
+            "{limits}[front.http]\nlisten = '{listen}'\n[records]\nfile = '{file}'\n\
              [[source.workers]]\nid = 'r0'\naddress = '{at}'\n[[classes]]\nname = 'once'\naim = '9s'\n"
         )
     };
@@ -144,3 +148,28 @@
     assert!(!output.status.success() && said.contains("another process writes it"), "{said}");
     let _ = std::fs::remove_file(&file);
 }
+
+// The platform's least: 32 MB and 256 descriptors, with records and the log on besides.
+#[tokio::test]
+async fn the_least_limits_hold_with_records_on() {
+    let mut worker = Party::new().await;
+    let file = scratch("least");
+    let scheduler = start_within(&worker, &file, "[limits]\nmemory = '32 MB'\ndescriptors = 256\n").await;
+    let mut clients = Vec::new();
+    for number in 0..150 {
+        let mut client = scheduler.client().await;
+        client.job("once", number, 9000).await;
+        clients.push((client, worker.asked().await.accept()));
+    }
+    let pid = scheduler.child.id().expect("it runs");
+    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors").count();
+    for (client, id) in &mut clients {
+        scheduler.call_back(id, "r0", DONE).await;
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    let peak: u64 = peak.trim_end_matches("kB").trim().parse().expect("a number");
+    assert!(descriptors <= 256 && peak <= 32_000, "{descriptors} descriptors, {peak} kB");
+    let _ = std::fs::remove_file(&file);
+}
--- a/crates/node/tests/doors.rs
+++ b/crates/node/tests/doors.rs
@@ -1,5 +1,7 @@
 //! Each door with a second, tiny implementation in memory: no socket, and the same rules.
 use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -10,6 +12,7 @@
 use copperspread_node::ending::Ending;
 use copperspread_node::entries::ServiceEntries;
 use copperspread_node::flow;
+use copperspread_node::front::Front;
 use copperspread_node::node::Node;
 use copperspread_node::order::{Answer, Demand, Handed, News, Order};
 use copperspread_node::source::fixed::Fixed;
@@ -18,7 +21,7 @@
 use copperspread_records::writer::Recorder;
 use copperspread_settings::{List, Member, NodeSettings, Phase};
 use futures_util::future::BoxFuture;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 /// A back that keeps what it is given and answers by a script; without one it takes the job.
@@ -59,6 +62,35 @@
     }
 }
 
+/// A front whose clients are a channel: each brings a demand and a way back for the answer's word.
+struct MemoryFront {
+    node: Arc<Node>,
+    clients: Mutex<mpsc::Receiver<(Demand, oneshot::Sender<&'static str>)>>,
+    busy: Arc<AtomicUsize>,
+}
+
+impl Front for MemoryFront {
+    fn accept(self: Arc<Self>) -> BoxFuture<'static, ()> {
+        Box::pin(async move {
+            while let Some((demand, reply)) =
+                poll_fn(|cx| self.clients.lock().expect("a lock").poll_recv(cx)).await
+            {
+                self.busy.fetch_add(1, Ordering::Relaxed);
+                let mut held = flow::begin(&self.node, demand);
+                let busy = Arc::clone(&self.busy);
+                tokio::spawn(async move {
+                    let answer = held.answer().await;
+                    busy.fetch_sub(1, Ordering::Relaxed);
+                    let _ = reply.send(answer.word());
+                });
+            }
+        })
+    }
+    fn busy(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
+    }
+}
+
 const CLASSES: [Effect; 3] =
     [Effect::Safe, Effect::Keyed { scope: KeyScope::Zone, window: 12 * SECOND }, Effect::Unsafe];
 
@@ -119,6 +151,9 @@
         settle().await;
     }
     fn ask(&self, id: u64, class: u32) -> flow::Held {
+        flow::begin(&self.node, self.demand(id, class))
+    }
+    fn demand(&self, id: u64, class: u32) -> Demand {
         let job = Job { request: RequestId(id), class, time_left: 4 * SECOND, ..Job::default() };
         let order = Order {
             id: format!("{id:016x}"),
@@ -128,7 +163,7 @@
             body: Bytes::new(),
             room: None,
         };
-        flow::begin(&self.node, Demand { job, deadline: from_now(job.time_left), order })
+        Demand { job, deadline: from_now(job.time_left), order }
     }
     fn handed(&self) -> Vec<WorkerId> {
         self.back.handed.lock().expect("a lock").clone()
@@ -193,6 +228,29 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_second_front_gives_answers_its_own_form() {
+    let house = House::open(&[]).await;
+    house.told(list(1, &[Phase::Serving])).await;
+    let (clients, asked) = mpsc::channel(8);
+    let (node, clients_told) = (Arc::clone(&house.node), Mutex::new(asked));
+    let front: Arc<dyn Front> = Arc::new(MemoryFront { node, clients: clients_told, busy: Arc::default() });
+    tokio::spawn(Arc::clone(&front).accept());
+    let mut words = Vec::new();
+    for (id, class) in [(1, 2), (2, 0)] {
+        let (reply, word) = oneshot::channel();
+        clients.send((house.demand(id, class), reply)).await.expect("it accepts");
+        words.push(word);
+    }
+    settle().await;
+    assert_eq!(front.busy(), 2);
+    house.news(1, WorkerId(0), done());
+    house.news(2, WorkerId(0), News::Ended(Outcome::Full, None, None));
+    settle().await;
+    assert_eq!((words.remove(0).await, words.remove(0).await), (Ok("served"), Ok("refused")));
+    assert_eq!(front.busy(), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_front_that_lets_go_has_the_scheduling_given_up_at_the_back() {
     let house = House::open(&[]).await;
