--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,120 @@
+//! Policies against one another on the same seeds: differences in pairs, with a bootstrap interval.
+use rand::RngExt;
+use rayon::prelude::*;
+use serde::Serialize;
+
+use crate::model::chance::{Stream, stream};
+use crate::outcome::Outcome;
+use crate::policy::Kind;
+use crate::scenario::Scenario;
+use crate::sim::play;
+
+/// A mean difference against the first policy, over pairs of one seed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Difference {
+    /// The mean.
+    pub mean: f64,
+    /// The interval that holds 95% of the resampled means.
+    pub interval: [f64; 2],
+}
+
+impl Difference {
+    /// From the differences of each pair. `None` of no pairs.
+    pub fn of(pairs: &[f64]) -> Option<Difference> {
+        const DRAWS: usize = 2_000;
+        if pairs.is_empty() {
+            return None;
+        }
+        let mean = |of: &[f64]| of.iter().sum::<f64>() / of.len() as f64;
+        let mut chance = stream(1, Stream::Faults);
+        let mut drawn = vec![0.0; pairs.len()];
+        let mut means: Vec<f64> = (0..DRAWS)
+            .map(|_| {
+                drawn.iter_mut().for_each(|one| *one = pairs[chance.random_range(0..pairs.len())]);
+                mean(&drawn)
+            })
+            .collect();
+        means.sort_by(f64::total_cmp);
+        Some(Difference { mean: mean(pairs), interval: [means[DRAWS / 40], means[DRAWS - 1 - DRAWS / 40]] })
+    }
+
+    /// Whether the interval leaves zero out. Fewer than three pairs show nothing.
+    pub fn shown(&self) -> bool {
+        self.interval[0] > 0.0 || self.interval[1] < 0.0
+    }
+}
+
+/// One policy's runs of a scenario.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// The policy.
+    pub policy: String,
+    /// The share of worth served in time, the mean over seeds.
+    pub share: f64,
+    /// The shares refused, late, failed and lost.
+    pub went: [f64; 4],
+    /// The first policy's share less this one's, in pairs.
+    pub behind: Option<Difference>,
+    /// Breaches of rules in all runs.
+    pub breaches: u64,
+    /// The runs.
+    pub runs: Vec<Outcome>,
+}
+
+/// Plays a scenario under policies and seeds, on all cores.
+///
+/// # Errors
+/// A policy that cannot be made.
+pub fn compare(scenario: &Scenario, kinds: &[Kind], seeds: &[u64]) -> Result<Vec<Row>, String> {
+    let pairs: Vec<(Kind, u64)> =
+        kinds.iter().flat_map(|&kind| seeds.iter().map(move |&seed| (kind, seed))).collect();
+    let runs: Vec<Outcome> =
+        pairs.par_iter().map(|&(kind, seed)| play(scenario, kind, seed)).collect::<Result<_, String>>()?;
+    let first: Vec<f64> = runs.iter().take(seeds.len()).map(|run| run.worth.share()).collect();
+    let row = |(at, runs): (usize, &[Outcome])| {
+        let shares: Vec<f64> = runs.iter().map(|run| run.worth.share()).collect();
+        let behind: Vec<f64> = first.iter().zip(&shares).map(|(first, own)| first - own).collect();
+        let part = |of: fn(&Outcome) -> f64| {
+            runs.iter().map(|run| of(run) / run.worth.asked.max(1e-12)).sum::<f64>()
+                / runs.len().max(1) as f64
+        };
+        Row {
+            policy: kinds[at].name(),
+            share: shares.iter().sum::<f64>() / shares.len().max(1) as f64,
+            went: [
+                part(|run| run.worth.refused),
+                part(|run| run.worth.late),
+                part(|run| run.worth.failed),
+                part(|run| run.worth.lost),
+            ],
+            behind: if at == 0 { None } else { Difference::of(&behind) },
+            breaches: runs.iter().flat_map(|run| run.breaches.values()).sum(),
+            runs: runs.to_vec(),
+        }
+    };
+    Ok(runs.chunks(seeds.len().max(1)).enumerate().map(row).collect())
+}
+
+/// The rows as a table.
+pub fn table(scenario: &Scenario, rows: &[Row]) -> String {
+    let mut text = format!(
+        "{}: {}\n{:<18} {:>7} {:>8} {:>6} {:>7} {:>6} {:>9}  first less this one\n",
+        scenario.name, scenario.about, "policy", "served", "refused", "late", "failed", "lost", "breaches"
+    );
+    for row in rows {
+        let [refused, late, failed, lost] = row.went;
+        let behind = match &row.behind {
+            None => String::new(),
+            Some(of) if row.runs.len() < 3 => format!("{:+.3} (too few seeds for an interval)", of.mean),
+            Some(of) if of.shown() => {
+                format!("{:+.3} [{:+.3}, {:+.3}]", of.mean, of.interval[0], of.interval[1])
+            }
+            Some(of) => format!("no difference shown [{:+.3}, {:+.3}]", of.interval[0], of.interval[1]),
+        };
+        text += &format!(
+            "{:<18} {:>7.3} {refused:>8.3} {late:>6.3} {failed:>7.3} {lost:>6.3} {:>9}  {behind}\n",
+            row.policy, row.share, row.breaches
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,210 @@
+//! The laboratory's program.
+//!
+//! Exit codes: 0 done, 1 a rule was broken or what was asked for cannot be done, 2 the command line is
+//! wrong.
+use std::io::Write;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use clap::{Parser, Subcommand};
+use copperspread_lab::compare::{compare, table};
+use copperspread_lab::policy::Kind;
+use copperspread_lab::scenario::Scenario;
+use copperspread_lab::sim::play;
+
+/// Plays scenarios of workers, clients and failures against the scheduler's decisions.
+#[derive(Debug, Parser)]
+#[command(name = "copperspread-lab", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// List the scenarios that come with the program
+    Scenarios,
+    /// Print one of them, as a file to start from
+    Show {
+        /// Its name
+        name: String,
+    },
+    /// Play a scenario once in virtual time
+    Sim {
+        /// A scenario's name, or a file
+        scenario: String,
+        /// What decides
+        #[arg(long, default_value = "copperspread", value_parser = kind)]
+        policy: Kind,
+        /// The seed of all chance
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Print the whole outcome as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Play scenarios under the module and the baselines, in pairs of one seed
+    Compare {
+        /// Scenarios' names or files; none is all that come with the program but the large one
+        scenarios: Vec<String>,
+        /// How many seeds, from 1
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// Only these, the first against the others
+        #[arg(long, value_delimiter = ',', value_parser = kind)]
+        policies: Vec<Kind>,
+        /// Print all outcomes as JSON
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn kind(text: &str) -> Result<Kind, String> {
+    serde_json::from_value(text.into()).map_err(|_| {
+        let names: Vec<_> = Kind::COMPARED.iter().map(|kind| kind.name()).collect();
+        format!("no such policy; one of {}", names.join(", "))
+    })
+}
+
+macro_rules! shipped {
+    ($($name:literal),*) => {
+        /// The scenarios that come with the program.
+        const SHIPPED: &[(&str, &str)] = &[$(($name, include_str!(concat!("../scenarios/", $name, ".toml")))),*];
+    };
+}
+shipped!(
+    "calm",
+    "slow-tenth",
+    "burst",
+    "heavy-tail",
+    "zone-lost",
+    "discovery-late",
+    "rolling-drain",
+    "cold-wave",
+    "retry-storm",
+    "large"
+);
+const LARGE: &str = "large";
+
+fn scenario(name: &str) -> Result<Scenario, String> {
+    let of = |text: &str| Scenario::read(text).map_err(|why| format!("{name}: {why}"));
+    if let Some((_, text)) = SHIPPED.iter().find(|(known, _)| *known == name) {
+        return of(text);
+    }
+    if !Path::new(name).exists() {
+        let names: Vec<_> = SHIPPED.iter().map(|(name, _)| *name).collect();
+        return Err(format!(
+            "{name}: no such file, and no scenario of that name; one of {}",
+            names.join(", ")
+        ));
+    }
+    of(&std::fs::read_to_string(name).map_err(|e| format!("{name}: {e}"))?)
+}
+
+fn print(text: &str) -> Result<(), String> {
+    match std::io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != std::io::ErrorKind::BrokenPipe => {
+            Err(format!("standard output: {error}"))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> Result<String, String> {
+    serde_json::to_string(value).map(|text| text + "\n").map_err(|e| e.to_string())
+}
+
+fn run(command: Command) -> Result<bool, String> {
+    match command {
+        Command::Scenarios => {
+            for (name, _) in SHIPPED {
+                let scenario = scenario(name)?;
+                print(&format!("{name:<16} {}\n", scenario.about))?;
+            }
+            Ok(true)
+        }
+        Command::Show { name } => {
+            scenario(&name)?;
+            let text = SHIPPED.iter().find(|(known, _)| *known == name).map(|(_, text)| *text);
+            print(text.ok_or_else(|| format!("{name} does not come with the program"))?)?;
+            Ok(true)
+        }
+        Command::Sim { scenario: name, policy, seed, json: whole } => {
+            let scenario = scenario(&name)?;
+            let began = Instant::now();
+            let outcome = play(&scenario, policy, seed)?;
+            let took = began.elapsed().as_secs_f64();
+            let kept = outcome.breaches.is_empty();
+            if whole {
+                print(&json(&outcome)?)?;
+                return Ok(kept);
+            }
+            let share = |worth: f64| worth / outcome.worth.asked;
+            let mut text = format!(
+                "{} under {}, seed {seed}: {:.3} of the worth served in time; late {:.3}, refused {:.3}, failed \
+                 {:.3}, lost {:.3}\n{:.2} attempts a job, {:.3} of them to another zone; {} workers fell over\n",
+                outcome.scenario,
+                outcome.policy,
+                outcome.worth.share(),
+                share(outcome.worth.late),
+                share(outcome.worth.refused),
+                share(outcome.worth.failed),
+                share(outcome.worth.lost),
+                outcome.attempts,
+                outcome.crossing,
+                outcome.fell,
+            );
+            for class in &outcome.classes {
+                let [half, most, _] = class.served_ms;
+                text += &format!(
+                    "  {:<12} {:>8} jobs, {:.3} in time; served in {half:.0} ms (median), {most:.0} ms (99%)\n",
+                    class.name,
+                    class.jobs,
+                    class.worth.share()
+                );
+            }
+            for (rule, count) in &outcome.breaches {
+                text += &format!("BROKEN {rule:?}: {count}\n");
+            }
+            for breach in &outcome.examples {
+                text +=
+                    &format!("  at {:.3} s: {:?}, {}\n", breach.at as f64 / 1e6, breach.rule, breach.what);
+            }
+            let rate = outcome.events as f64 / took;
+            text += &format!(
+                "{} jobs, {} events in {took:.1} s: {rate:.0} events a second\n",
+                outcome.jobs, outcome.events
+            );
+            print(&text)?;
+            Ok(kept)
+        }
+        Command::Compare { scenarios, seeds, policies, json: whole } => {
+            let names = match scenarios.is_empty() {
+                false => scenarios,
+                true => {
+                    SHIPPED.iter().map(|(name, _)| (*name).to_owned()).filter(|name| name != LARGE).collect()
+                }
+            };
+            let policies = if policies.is_empty() { Kind::COMPARED.to_vec() } else { policies };
+            let seeds: Vec<u64> = (1..=seeds.max(1)).collect();
+            for name in names {
+                let scenario = scenario(&name)?;
+                let rows = compare(&scenario, &policies, &seeds)?;
+                print(&if whole { json(&rows)? } else { table(&scenario, &rows) + "\n" })?;
+            }
+            Ok(true)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Line::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            let _ = writeln!(std::io::stderr(), "copperspread-lab: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/model/arrivals.rs
@@ -0,0 +1,99 @@
+//! Clients as an open loop: when each job comes and what it is, drawn from one stream, so that it does
+//! not depend on what the scheduler does.
+use copperspread_decisions::Micros;
+use rand::RngExt;
+use rand_distr::{Distribution, Exp, Exp1, LogNormal};
+
+use crate::model::chance::{Chance, Stream, stream};
+use crate::scenario::{Fault, Scenario, Spread, Trouble, micros};
+
+/// A client's job, over all of its tries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When its first try is sent.
+    pub at: Micros,
+    /// Its class.
+    pub class: u32,
+    /// Its work, in seconds at speed 1.
+    pub work: f64,
+    /// Its slots.
+    pub slots: f64,
+    /// The hint of its work.
+    pub hint: Option<f64>,
+    /// The scheduler that its first try goes to.
+    pub scheduler: u32,
+}
+
+/// The stream of arrivals.
+pub struct Arrivals<'a> {
+    scenario: &'a Scenario,
+    chance: Chance,
+    at: f64,
+    /// The classes' shares, added up.
+    shares: Vec<f64>,
+}
+
+impl<'a> Arrivals<'a> {
+    /// A scenario's arrivals under a seed.
+    pub fn new(scenario: &'a Scenario, seed: u64) -> Arrivals<'a> {
+        let mut sum = 0.0;
+        let shares = scenario.classes.iter().map(|class| {
+            sum += class.share;
+            sum
+        });
+        Arrivals { scenario, chance: stream(seed, Stream::Arrivals), at: 0.0, shares: shares.collect() }
+    }
+
+    fn holds(fault: &Fault, at: f64) -> bool {
+        (fault.at..fault.at + fault.lasts).contains(&at)
+    }
+
+    /// How many times the usual rate clients come.
+    fn factor(&self, at: f64) -> f64 {
+        let burst = |fault: &Fault| match fault.what {
+            Trouble::Burst(factor) if Self::holds(fault, at) => factor,
+            _ => 1.0,
+        };
+        self.scenario.faults.iter().map(burst).product()
+    }
+}
+
+impl Iterator for Arrivals<'_> {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let scenario = self.scenario;
+        // A changing rate is stepped over at the rate of the last arrival: bursts last for many of them.
+        let gap: f64 = Exp1.sample(&mut self.chance);
+        self.at += gap / (scenario.clients.rate * self.factor(self.at));
+        if self.at >= scenario.seconds {
+            return None;
+        }
+        let pick = self.chance.random::<f64>() * self.shares.last().copied().unwrap_or(1.0);
+        let class = self.shares.iter().position(|&to| pick < to).unwrap_or(0);
+        let of = &scenario.classes[class];
+        let mut work = match of.spread {
+            Spread::Constant => of.work,
+            Spread::Exponential => {
+                Exp::new(1.0 / of.work).map_or(of.work, |draw| draw.sample(&mut self.chance))
+            }
+            // The mean of the log-normal is to be the class's.
+            Spread::LogNormal(sigma) => LogNormal::new(of.work.ln() - sigma * sigma / 2.0, sigma)
+                .map_or(of.work, |draw| draw.sample(&mut self.chance)),
+        };
+        let wide = self.chance.random::<f64>() < of.wide;
+        let heavy = self.chance.random::<f64>() < 0.01;
+        let error: f64 = LogNormal::new(0.0, scenario.clients.hint_error.unwrap_or(0.0))
+            .map_or(1.0, |draw| draw.sample(&mut self.chance));
+        let scheduler = self.chance.random_range(0..scenario.schedulers);
+        let tail =
+            |fault: &Fault| fault.what == Trouble::HeavyTail(class as u32) && Self::holds(fault, self.at);
+        let hint = scenario.clients.hint_error.map(|_| work * error);
+        if heavy && scenario.faults.iter().any(tail) {
+            // Unforeseen: the hint is that of a usual job.
+            work *= 20.0;
+        }
+        let at = micros(self.at);
+        Some(Arrival { at, class: class as u32, work, slots: if wide { 2.0 } else { 1.0 }, hint, scheduler })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/model/mod.rs
@@ -0,0 +1,4 @@
+//! The parts of the world, each on its own: time and chance come in as arguments.
+pub mod arrivals;
+pub mod chance;
+pub mod worker;
--- /dev/null
+++ b/crates/lab/src/outcome.rs
@@ -0,0 +1,154 @@
+//! What a run came to.
+use std::collections::BTreeMap;
+
+use copperspread_decisions::{Micros, SECOND};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::referee::{Breach, Rule};
+
+/// What became of a client's job in the end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served within its wanted time.
+    InTime,
+    /// Served, and too late.
+    Late,
+    /// Turned away at its last try.
+    Refused,
+    /// Failed.
+    Failed,
+    /// Its client gave up with no answer.
+    Lost,
+}
+
+/// Worth asked for and what became of it. The parts add up to what was asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Worth {
+    /// Asked for.
+    pub asked: f64,
+    /// Answered in time.
+    pub in_time: f64,
+    /// Answered late.
+    pub late: f64,
+    /// Refused.
+    pub refused: f64,
+    /// Failed.
+    pub failed: f64,
+    /// Not answered.
+    pub lost: f64,
+}
+
+impl Worth {
+    fn add(&mut self, worth: f64, end: End) {
+        self.asked += worth;
+        *match end {
+            End::InTime => &mut self.in_time,
+            End::Late => &mut self.late,
+            End::Refused => &mut self.refused,
+            End::Failed => &mut self.failed,
+            End::Lost => &mut self.lost,
+        } += worth;
+    }
+
+    /// The share that was answered in time.
+    pub fn share(&self) -> f64 {
+        if self.asked > 0.0 { self.in_time / self.asked } else { 1.0 }
+    }
+}
+
+/// One class's part of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct OfClass {
+    /// Its name.
+    pub name: String,
+    /// Jobs asked for.
+    pub jobs: u64,
+    /// Their worth.
+    pub worth: Worth,
+    /// Mean time of served jobs, in milliseconds.
+    pub mean_ms: f64,
+    /// Their times at the median, 99% and the most.
+    pub served_ms: [f64; 3],
+}
+
+/// What a run came to. Two runs of one seed are equal to the byte in JSON.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// The scenario.
+    pub scenario: String,
+    /// The policy.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// Jobs of clients.
+    pub jobs: u64,
+    /// Events played.
+    pub events: u64,
+    /// All worth.
+    pub worth: Worth,
+    /// By class.
+    pub classes: Vec<OfClass>,
+    /// By second of asking.
+    pub seconds: Vec<Worth>,
+    /// Attempts a job.
+    pub attempts: f64,
+    /// The share of attempts that went to another zone.
+    pub crossing: f64,
+    /// Workers that fell over.
+    pub fell: u64,
+    /// Core-seconds done.
+    pub work_done: f64,
+    /// Mean of the jobs in the workers, over time.
+    pub held: f64,
+    /// Breaches by rule.
+    pub breaches: BTreeMap<Rule, u64>,
+    /// The first of them.
+    pub examples: Vec<Breach>,
+}
+
+/// Counts while a run goes on.
+pub struct Tally {
+    pub(crate) worth: Worth,
+    pub(crate) classes: Vec<(u64, Worth, Histogram<u64>)>,
+    pub(crate) seconds: Vec<Worth>,
+}
+
+impl Tally {
+    /// For so many classes.
+    pub fn new(classes: usize) -> Tally {
+        // Up to a day, to three figures.
+        let empty =
+            || Histogram::new_with_max(86_400 * SECOND, 3).unwrap_or_else(|_| unreachable!("good bounds"));
+        let classes = (0..classes).map(|_| (0, Worth::default(), empty())).collect();
+        Tally { worth: Worth::default(), classes, seconds: Vec::new() }
+    }
+
+    /// A client's job has ended; `took` is from its first try, `worth` what it was worth.
+    pub fn ended(&mut self, asked_at: Micros, class: usize, worth: f64, took: Micros, end: End) {
+        self.worth.add(worth, end);
+        let of = &mut self.classes[class];
+        of.0 += 1;
+        of.1.add(worth, end);
+        if matches!(end, End::InTime | End::Late) {
+            of.2.saturating_record(took);
+        }
+        let second = (asked_at / SECOND) as usize;
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, Worth::default());
+        }
+        self.seconds[second].add(worth, end);
+    }
+
+    /// The classes' parts, by their names.
+    pub fn classes(&self, names: &[String]) -> Vec<OfClass> {
+        let one = |(name, (jobs, worth, times)): (&String, &(u64, Worth, Histogram<u64>))| OfClass {
+            name: name.clone(),
+            jobs: *jobs,
+            worth: *worth,
+            mean_ms: times.mean() / 1e3,
+            served_ms: [0.5, 0.99, 1.0].map(|quantile| times.value_at_quantile(quantile) as f64 / 1e3),
+        };
+        names.iter().zip(&self.classes).map(one).collect()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,402 @@
+//! A scenario: who works, who asks, and what goes wrong, as a TOML file. docs/lab.md describes it.
+use copperspread_decisions::{self as decisions, Effect, Micros, SECOND, Settings};
+use serde::{Deserialize, Serialize};
+
+use crate::model::worker::Order;
+
+/// A scenario.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// What it is for, in a sentence.
+    pub about: String,
+    /// How long clients come, in seconds.
+    pub seconds: f64,
+    /// Zones; schedulers, workers and clients are dealt to them in turn.
+    #[serde(default = "one")]
+    pub zones: u32,
+    /// Schedulers in all.
+    pub schedulers: u32,
+    /// Groups of workers.
+    pub workers: Vec<Group>,
+    /// Classes of jobs.
+    pub classes: Vec<Class>,
+    /// What clients do.
+    pub clients: Clients,
+    /// Ways between the parties.
+    #[serde(default)]
+    pub network: Network,
+    /// The worker list's way to the schedulers.
+    #[serde(default)]
+    pub discovery: Discovery,
+    /// Load reports.
+    #[serde(default)]
+    pub reports: Reports,
+    /// Cold workers.
+    #[serde(default)]
+    pub cold: Cold,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Workers that are built alike.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// The kind's name.
+    pub kind: String,
+    /// How many.
+    pub count: u32,
+    /// Cores of each.
+    pub cores: f64,
+    /// Slots of each.
+    pub slots: f64,
+    /// The least and the greatest speed of a core; each worker draws its own.
+    pub speed: [f64; 2],
+    /// Most jobs that wait.
+    #[serde(default = "hundred")]
+    pub queue: usize,
+    /// The order in which they start.
+    #[serde(default)]
+    pub order: Order,
+}
+
+fn hundred() -> usize {
+    100
+}
+
+/// What may be repeated of a class's jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeat {
+    /// It must never run twice.
+    Never,
+    /// It carries a key by which workers of a zone drop a repeat.
+    Keyed,
+    /// It may run any number of times.
+    Safe,
+}
+
+/// How the work of a class's jobs is spread round its mean.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Spread {
+    /// Log-normal, with this sigma.
+    LogNormal(f64),
+    /// Exponential.
+    #[default]
+    Exponential,
+    /// All alike.
+    Constant,
+}
+
+/// A class of jobs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Its share of all jobs, against the others' shares.
+    pub share: f64,
+    /// Mean work, in seconds at speed 1.
+    pub work: f64,
+    /// How it is spread.
+    #[serde(default)]
+    pub spread: Spread,
+    /// The share of jobs that take two slots.
+    #[serde(default)]
+    pub wide: f64,
+    /// An answer in time comes within so many seconds ...
+    pub aim: f64,
+    /// ... plus so many times the job's own work.
+    #[serde(default)]
+    pub stretch: f64,
+    /// Clients give up after so many seconds, over all tries.
+    pub deadline: f64,
+    /// What a unit of work is worth.
+    pub worth: f64,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// For `keyed`: for how many seconds a repeat is dropped.
+    #[serde(default)]
+    pub window: f64,
+}
+
+/// What clients do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clients {
+    /// First tries a second, whatever the answers: an open loop.
+    pub rate: f64,
+    /// Tries after a refusal, past the first.
+    #[serde(default)]
+    pub retries: u32,
+    /// Clients heed `Retry-After` up to so many seconds.
+    #[serde(default = "two")]
+    pub heed: f64,
+    /// Sigma of the log-normal error of hints; absent, there are none.
+    #[serde(default)]
+    pub hint_error: Option<f64>,
+}
+
+fn two() -> f64 {
+    2.0
+}
+
+/// Ways between the parties.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Network {
+    /// Seconds one way inside a zone.
+    pub near: f64,
+    /// Seconds one way between zones.
+    pub far: f64,
+    /// The share of messages that come 0.2 s late, as after a loss.
+    pub loss: f64,
+}
+
+impl Default for Network {
+    fn default() -> Network {
+        Network { near: 0.0005, far: 0.015, loss: 0.0 }
+    }
+}
+
+/// The worker list's way to the schedulers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Discovery {
+    /// Seconds until a change is told.
+    pub delay: f64,
+    /// Seconds until the first list comes; before it, only the list of before the start is known.
+    pub first_after: f64,
+    /// The share of workers in the list of before the start that are not there any more.
+    pub stale: f64,
+}
+
+impl Default for Discovery {
+    fn default() -> Discovery {
+        Discovery { delay: 2.0, first_after: 0.0, stale: 0.0 }
+    }
+}
+
+/// Load reports.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Reports {
+    /// Seconds between refreshes.
+    pub refresh: f64,
+    /// Sigma of the noise, in slots.
+    pub noise: f64,
+}
+
+impl Default for Reports {
+    fn default() -> Reports {
+        Reports { refresh: 1.0, noise: 0.1 }
+    }
+}
+
+/// Cold workers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Cold {
+    /// A worker starts at this share of its capacity.
+    pub from: f64,
+    /// It is warm after so many seconds.
+    pub warm_after: f64,
+    /// Sent more than so many times its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for so many seconds, it falls over; 0 never.
+    pub fall_seconds: f64,
+}
+
+impl Default for Cold {
+    fn default() -> Cold {
+        Cold { from: 0.12, warm_after: 23.0, fall_multiple: 3.0, fall_seconds: 3.0 }
+    }
+}
+
+/// Something that goes wrong for a while.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When it begins, in seconds.
+    pub at: f64,
+    /// How long it lasts, in seconds.
+    pub lasts: f64,
+    /// What it is.
+    pub what: Trouble,
+    /// The share of workers that it meets, at least one of them.
+    #[serde(default = "tenth")]
+    pub share: f64,
+    /// Only workers of this zone.
+    #[serde(default)]
+    pub zone: Option<u32>,
+    /// The workers met follow one another over so many seconds; 0 is all at once.
+    #[serde(default)]
+    pub spread_over: f64,
+}
+
+fn tenth() -> f64 {
+    0.1
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Trouble {
+    /// Workers run so many times slower.
+    Slow(f64),
+    /// Their jobs do not go on.
+    Stuck,
+    /// They tell nothing of the class of this number.
+    Silent(u32),
+    /// They are listed and refuse connections.
+    Refusing,
+    /// So great a share of the hand-overs to them breaks, half of them after the job was taken.
+    Resetting(f64),
+    /// Their processes end, and start cold when it is over.
+    Crash,
+    /// Their machines are out of reach; when it is over, they start cold.
+    Vanish,
+    /// They drain, hand back what has not started, and start cold when it is over.
+    Drain,
+    /// Clients come so many times as often.
+    Burst(f64),
+    /// A hundredth of the jobs of the class of this number cost twenty times as much.
+    HeavyTail(u32),
+    /// Load reports are refreshed so many seconds later.
+    ReportsLate(f64),
+    /// No change of the list is told.
+    DiscoveryDown,
+}
+
+impl Trouble {
+    /// Whether it meets workers, and not clients, reports or the list.
+    pub fn meets_workers(self) -> bool {
+        !matches!(
+            self,
+            Trouble::Burst(_) | Trouble::HeavyTail(_) | Trouble::ReportsLate(_) | Trouble::DiscoveryDown
+        )
+    }
+}
+
+/// Seconds as microseconds.
+pub fn micros(seconds: f64) -> Micros {
+    (seconds.max(0.0) * SECOND as f64).round() as Micros
+}
+
+impl Scenario {
+    /// Reads a scenario and checks it.
+    ///
+    /// # Errors
+    /// What is wrong, with line and key as TOML's reader tells them.
+    pub fn read(text: &str) -> Result<Scenario, String> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| e.to_string().trim_end().to_owned())?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let positive = |name: &str, value: f64| {
+            if value.is_finite() && value > 0.0 {
+                Ok(())
+            } else {
+                Err(format!("{name}: {value} is not over 0"))
+            }
+        };
+        positive("seconds", self.seconds)?;
+        positive("clients.rate", self.clients.rate)?;
+        if self.zones == 0 || self.schedulers == 0 || self.classes.is_empty() || self.workers.is_empty() {
+            return Err("zones, schedulers, workers and classes: at least one of each".into());
+        }
+        for group in &self.workers {
+            positive(&format!("workers of kind {:?}: cores", group.kind), group.cores)?;
+            positive(&format!("workers of kind {:?}: slots", group.kind), group.slots)?;
+            positive(&format!("workers of kind {:?}: speed", group.kind), group.speed[0])?;
+            if group.speed[0] > group.speed[1] {
+                return Err(format!(
+                    "workers of kind {:?}: speed: {:?} is no range",
+                    group.kind, group.speed
+                ));
+            }
+        }
+        for class in &self.classes {
+            for (name, value) in [
+                ("share", class.share),
+                ("work", class.work),
+                ("deadline", class.deadline),
+                ("worth", class.worth),
+            ] {
+                positive(&format!("class {:?}: {name}", class.name), value)?;
+            }
+        }
+        for (number, fault) in self.faults.iter().enumerate() {
+            let class = match fault.what {
+                Trouble::Silent(class) | Trouble::HeavyTail(class) => class,
+                _ => 0,
+            };
+            let unknown_zone = fault.zone.is_some_and(|zone| zone >= self.zones);
+            if class as usize >= self.classes.len() || unknown_zone || !fault.at.is_finite() || fault.at < 0.0
+            {
+                return Err(format!("faults[{number}]: no such class, zone or time"));
+            }
+        }
+        Ok(())
+    }
+
+    /// The settings of one scheduler.
+    pub fn settings(&self, scheduler: u32) -> Settings {
+        let class = |class: &Class| decisions::Class {
+            aim: micros(class.aim),
+            stretch: class.stretch,
+            deadline: micros(class.deadline),
+            worth: class.worth,
+            effect: class.effect(),
+            worker_kind: None,
+        };
+        Settings {
+            fleet_size: self.schedulers,
+            zone: scheduler % self.zones,
+            classes: self.classes.iter().map(class).collect(),
+            worth_by_work: true,
+            cold_from: self.cold.from,
+            cold_for: micros(self.cold.warm_after),
+            fall_multiple: self.cold.fall_multiple,
+            fall_window: micros(self.cold.fall_seconds.max(0.001)),
+            max_attempts: 4,
+            second_copies: true,
+            may_cancel: true,
+            tells_start: true,
+            price_cross_zone: 0.03,
+            ..Settings::default()
+        }
+    }
+
+    /// Jobs a second that the fleet can do, if all of them do their mean.
+    pub fn capacity(&self) -> f64 {
+        let cores = |group: &Group| {
+            f64::from(group.count) * group.cores.min(group.slots) * (group.speed[0] + group.speed[1]) / 2.0
+        };
+        let shares: f64 = self.classes.iter().map(|class| class.share).sum();
+        let work = |class: &Class| class.share / shares * class.work * (1.0 + class.wide);
+        self.workers.iter().map(cores).sum::<f64>() / self.classes.iter().map(work).sum::<f64>()
+    }
+}
+
+impl Class {
+    /// What may be repeated, in the module's form.
+    pub fn effect(&self) -> Effect {
+        match self.repeat {
+            Repeat::Safe => Effect::Safe,
+            Repeat::Keyed => Effect::Keyed { scope: decisions::KeyScope::Zone, window: micros(self.window) },
+            Repeat::Never => Effect::Unsafe,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim.rs
@@ -0,0 +1,866 @@
+//! The drive in virtual time: the model's parts, any number of schedulers, and one queue of events.
+//!
+//! A scheduler's node is played as `crates/node` is: the deadline has a margin, what is out at the
+//! deadline is told as timed out, the first served attempt answers, and the module hears of every
+//! attempt's end. The same seed gives the same run, to the byte.
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use copperspread_decisions::{
+    Action, AttemptOutcome, Effect, Event, Job, Micros, Outcome as Ended, Progress, RequestId, Roster,
+    RosterKind, SECOND, Timer, WorkerEntry, WorkerId, WorkerState,
+};
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use rand_distr::{Distribution, Exp1, Normal};
+use rustc_hash::FxHashMap;
+
+use crate::model::arrivals::{Arrival, Arrivals};
+use crate::model::chance::{Chance, Stream, stream};
+use crate::model::worker::{self, Build, Life, Offer, Offered, Worker};
+use crate::outcome::{End, Outcome, Tally};
+use crate::policy::{Kind, Policy, Truth};
+use crate::referee::{ColdBudget, GRACE, Referee};
+use crate::scenario::{Scenario, Trouble, micros};
+
+/// The node's margin before the client gives up.
+const MARGIN: Micros = 50_000;
+/// A connection that is not up by then has failed.
+const CONNECT: Micros = 250_000;
+/// What a lost message costs.
+const RESENT: Micros = 200_000;
+/// Starts that are told lie this far from zero, so that ages can be subtracted.
+const EPOCH: Micros = 1_000 * SECOND;
+
+/// What happens next.
+enum Ev {
+    Arrive(Arrival),
+    Retry(u64),
+    Ask(u64),
+    AtWorker(u64),
+    Wake(u32, u64),
+    Outcome(u64, Ended),
+    Started(u64),
+    Timer(u32, Timer),
+    Told(u32, RosterKind, Arc<Vec<WorkerEntry>>),
+    Overdue(u64),
+    Answer(u64, Final),
+    GiveUp(u64),
+    Begin(usize, u32),
+    Over(usize, u32),
+}
+
+/// A final answer on its way.
+#[derive(Clone, Copy, PartialEq)]
+enum Final {
+    Served,
+    Refused(Micros),
+    Failed,
+}
+
+struct Timed(Micros, u64, Ev);
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Timed) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Timed) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Timed) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// A client's job, over all its tries.
+struct Asked {
+    of: Arrival,
+    gives_up: Micros,
+    retries: u32,
+    ended: bool,
+    /// Requests and attempts that still know of it.
+    open: u32,
+    /// The attempts that workers took: number, zone and when.
+    keys: Vec<(u64, u32, Micros)>,
+    /// Repeats that were dropped, which hear what becomes of the first.
+    dropped: Vec<u64>,
+    /// An attempt was done.
+    done: bool,
+}
+
+/// A request at a scheduler.
+struct Flow {
+    job: u64,
+    scheduler: u32,
+    deadline: Micros,
+    attempts: Vec<u64>,
+    out: u32,
+    answered: bool,
+    late: bool,
+    client_over: bool,
+}
+
+struct Attempt {
+    request: u64,
+    job: u64,
+    number: u32,
+    worker: u32,
+    sent_at: Micros,
+    /// The scheduler waits for it.
+    out: bool,
+    /// It is at a worker, or on the way there.
+    there: bool,
+    /// Its connection breaks after the job was taken.
+    breaks: bool,
+}
+
+struct Scheduler {
+    policy: Box<dyn Policy>,
+    zone: u32,
+    version: u64,
+}
+
+/// Plays a scenario under a policy and a seed.
+///
+/// # Errors
+/// Settings that the policy does not take.
+pub fn play(scenario: &Scenario, kind: Kind, seed: u64) -> Result<Outcome, String> {
+    let mut sim = Sim::new(scenario, kind, seed)?;
+    while let Some(Reverse(Timed(at, _, event))) = sim.heap.pop() {
+        sim.hold(at);
+        sim.events += 1;
+        sim.happen(event);
+    }
+    Ok(sim.outcome(kind, seed))
+}
+
+struct Sim<'a> {
+    scenario: &'a Scenario,
+    now: Micros,
+    number: u64,
+    heap: BinaryHeap<Reverse<Timed>>,
+    arrivals: Arrivals<'a>,
+    network: Chance,
+    retries: Chance,
+    noise: Chance,
+    /// By fault, the workers that it meets.
+    met: Vec<Vec<u32>>,
+    workers: Vec<(Worker, u32)>,
+    schedulers: Vec<Scheduler>,
+    jobs: FxHashMap<u64, Asked>,
+    flows: FxHashMap<u64, Flow>,
+    attempts: FxHashMap<u64, Attempt>,
+    next_id: u64,
+    /// What the list will tell once discovery is back.
+    untold: Vec<WorkerEntry>,
+    discovery_down: u32,
+    reports_late: Micros,
+    resetting: FxHashMap<u32, f64>,
+    actions: Vec<Action>,
+    referee: Referee,
+    tally: Tally,
+    events: u64,
+    attempts_sent: u64,
+    crossed: u64,
+    fell: u64,
+    held: (u64, f64),
+}
+
+impl<'a> Sim<'a> {
+    fn new(scenario: &'a Scenario, kind: Kind, seed: u64) -> Result<Sim<'a>, String> {
+        let mut fleet = stream(seed, Stream::Fleet);
+        let cold = &scenario.cold;
+        let falls = cold.fall_seconds > 0.0;
+        let mut workers = Vec::new();
+        for group in &scenario.workers {
+            for _ in 0..group.count {
+                let [low, high] = group.speed;
+                let build = Build {
+                    cores: group.cores,
+                    slots: group.slots,
+                    speed: low + (high - low) * fleet.random::<f64>(),
+                    queue: group.queue,
+                    order: group.order,
+                    cold_from: cold.from,
+                    cold_for: micros(cold.warm_after),
+                    fall_multiple: cold.fall_multiple,
+                    fall_window: falls.then(|| micros(cold.fall_seconds)),
+                };
+                let zone = workers.len() as u32 % scenario.zones;
+                workers.push((Worker::new(build), zone));
+            }
+        }
+        let budget = falls.then(|| ColdBudget {
+            from: cold.from,
+            warm_after: micros(cold.warm_after),
+            multiple: cold.fall_multiple,
+            window: micros(cold.fall_seconds),
+        });
+        let mut schedulers = Vec::new();
+        for number in 0..scenario.schedulers {
+            let own = seed.wrapping_add(u64::from(number) * 7919);
+            let policy = kind.make(scenario.settings(number), own, stream(own, Stream::Network))?;
+            schedulers.push(Scheduler { policy, zone: number % scenario.zones, version: 0 });
+        }
+        let mut sim = Sim {
+            scenario,
+            now: 0,
+            number: 0,
+            heap: BinaryHeap::new(),
+            arrivals: Arrivals::new(scenario, seed),
+            network: stream(seed, Stream::Network),
+            retries: stream(seed, Stream::Retries),
+            noise: stream(seed, Stream::Reports),
+            met: Vec::new(),
+            workers,
+            schedulers,
+            jobs: FxHashMap::default(),
+            flows: FxHashMap::default(),
+            attempts: FxHashMap::default(),
+            next_id: 0,
+            untold: Vec::new(),
+            discovery_down: 0,
+            reports_late: 0,
+            resetting: FxHashMap::default(),
+            actions: Vec::new(),
+            referee: Referee::new(budget),
+            tally: Tally::new(scenario.classes.len()),
+            events: 0,
+            attempts_sent: 0,
+            crossed: 0,
+            fell: 0,
+            held: (0, 0.0),
+        };
+        sim.begin(seed);
+        Ok(sim)
+    }
+
+    fn begin(&mut self, seed: u64) {
+        let mut chance = stream(seed, Stream::Faults);
+        // The list of before the start names some that are not there.
+        let gone = (self.scenario.discovery.stale * self.workers.len() as f64).round() as usize;
+        let mut all: Vec<u32> = (0..self.workers.len() as u32).collect();
+        all.shuffle(&mut chance);
+        let remembered: Vec<_> = (0..self.workers.len() as u32).map(|at| self.entry(at)).collect();
+        for &at in &all[..gone.min(all.len())] {
+            self.workers[at as usize].0.life = Life::Dead;
+        }
+        let entries: Vec<_> = (0..self.workers.len() as u32).map(|at| self.entry(at)).collect();
+        let first = micros(self.scenario.discovery.first_after);
+        let (remembered, full) = (Arc::new(remembered), Arc::new(entries));
+        for scheduler in 0..self.schedulers.len() as u32 {
+            if first > 0 {
+                self.at(0, Ev::Told(scheduler, RosterKind::Remembered, Arc::clone(&remembered)));
+            }
+            self.at(first, Ev::Told(scheduler, RosterKind::Full, Arc::clone(&full)));
+        }
+        for (number, fault) in self.scenario.faults.iter().enumerate() {
+            let mut chosen: Vec<u32> = Vec::new();
+            if fault.what.meets_workers() {
+                let of_zone = |&at: &u32| fault.zone.is_none_or(|zone| self.workers[at as usize].1 == zone);
+                chosen = (0..self.workers.len() as u32).filter(of_zone).collect();
+                chosen.shuffle(&mut chance);
+                let count = (fault.share * chosen.len() as f64).ceil().max(1.0) as usize;
+                chosen.truncate(count);
+            }
+            let each: Vec<u32> = if chosen.is_empty() { vec![u32::MAX] } else { chosen.clone() };
+            for (place, &worker) in each.iter().enumerate() {
+                let begins = fault.at + fault.spread_over * place as f64 / each.len() as f64;
+                self.at(micros(begins), Ev::Begin(number, worker));
+                self.at(micros(begins + fault.lasts), Ev::Over(number, worker));
+            }
+            self.met.push(chosen);
+        }
+        if let Some(arrival) = self.arrivals.next() {
+            self.at(arrival.at, Ev::Arrive(arrival));
+        }
+    }
+
+    fn at(&mut self, at: Micros, event: Ev) {
+        self.number += 1;
+        self.heap.push(Reverse(Timed(at.max(self.now), self.number, event)));
+    }
+
+    /// Time goes on; what the workers hold meanwhile is added up.
+    fn hold(&mut self, at: Micros) {
+        self.held.1 += self.held.0 as f64 * (at - self.now) as f64;
+        self.now = at;
+    }
+
+    /// A message's way between two zones.
+    fn way(&mut self, from: u32, to: u32) -> Micros {
+        let network = &self.scenario.network;
+        let mean = if from == to { network.near } else { network.far };
+        let jitter: f64 = Exp1.sample(&mut self.network);
+        let lost = self.network.random::<f64>() < network.loss;
+        micros(mean * (0.9 + 0.1 * jitter)) + if lost { RESENT } else { 0 }
+    }
+
+    fn entry(&self, at: u32) -> WorkerEntry {
+        let (worker, zone) = &self.workers[at as usize];
+        WorkerEntry {
+            worker: WorkerId(at),
+            zone: *zone,
+            kind: 0,
+            cell: *zone,
+            state: match worker.life {
+                Life::Up => WorkerState::Ready,
+                Life::Draining => WorkerState::Draining,
+                Life::Dead | Life::Vanished => WorkerState::Gone,
+            },
+            started_at: worker.started_at.map(|at| at + EPOCH),
+        }
+    }
+
+    /// The list changes, and schedulers will be told.
+    fn changed(&mut self, worker: u32) {
+        let entry = self.entry(worker);
+        if self.discovery_down > 0 {
+            self.untold.push(entry);
+            return;
+        }
+        let entries = Arc::new(vec![entry]);
+        self.tell_all(&entries);
+    }
+
+    fn tell_all(&mut self, entries: &Arc<Vec<WorkerEntry>>) {
+        let after = self.now + micros(self.scenario.discovery.delay);
+        // The first list goes before any change.
+        let after = after.max(micros(self.scenario.discovery.first_after) + 1);
+        for scheduler in 0..self.schedulers.len() as u32 {
+            self.at(after, Ev::Told(scheduler, RosterKind::Changes, Arc::clone(entries)));
+        }
+    }
+
+    fn happen(&mut self, event: Ev) {
+        match event {
+            Ev::Arrive(arrival) => {
+                if let Some(next) = self.arrivals.next() {
+                    self.at(next.at, Ev::Arrive(next));
+                }
+                self.next_id += 1;
+                let gives_up = arrival.at + micros(self.scenario.classes[arrival.class as usize].deadline);
+                let retries = self.scenario.clients.retries;
+                let job = self.next_id;
+                let (keys, dropped) = (Vec::new(), Vec::new());
+                let (ended, done) = (false, false);
+                let asked = Asked { of: arrival, gives_up, retries, ended, open: 0, keys, dropped, done };
+                self.jobs.insert(job, asked);
+                self.try_once(job);
+            }
+            Ev::Retry(job) => {
+                if self.jobs.get(&job).is_some_and(|asked| !asked.ended) {
+                    self.try_once(job);
+                }
+            }
+            Ev::Ask(request) => self.ask(request),
+            Ev::AtWorker(attempt) => self.at_worker(attempt),
+            Ev::Wake(worker, epoch) => {
+                if self.workers[worker as usize].0.epoch == epoch {
+                    let mut effects = Vec::new();
+                    self.workers[worker as usize].0.advance(self.now, &mut effects);
+                    self.effects(worker, effects);
+                }
+            }
+            Ev::Outcome(attempt, outcome) => self.end_attempt(attempt, outcome),
+            Ev::Started(attempt) => {
+                let Some(of) = self.attempts.get(&attempt).filter(|of| of.out) else { return };
+                let (request, number) = (of.request, of.number);
+                let Some(scheduler) = self.flows.get(&request).map(|flow| flow.scheduler) else { return };
+                let progress = Progress::Started;
+                self.tell(
+                    scheduler,
+                    Event::Progress { request: RequestId(request), attempt: number, progress },
+                );
+            }
+            Ev::Timer(scheduler, timer) => self.tell(scheduler, Event::Timer(timer)),
+            Ev::Told(scheduler, kind, entries) => {
+                for entry in entries.iter() {
+                    let takes = entry.state == WorkerState::Ready;
+                    self.referee.told(self.now, scheduler, entry.worker.0, takes);
+                }
+                let of = &mut self.schedulers[scheduler as usize];
+                of.version += 1;
+                let version = of.version;
+                self.tell(scheduler, Event::Roster(Roster { kind, version, entries: &entries }));
+            }
+            Ev::Overdue(request) => {
+                let Some(flow) = self.flows.get_mut(&request) else { return };
+                flow.late = true;
+                for attempt in flow.attempts.clone() {
+                    self.end_attempt(attempt, Ended::TimedOut);
+                }
+            }
+            Ev::Answer(request, answer) => self.answer(request, answer),
+            Ev::GiveUp(request) => self.give_up(request),
+            Ev::Begin(fault, worker) => self.fault(fault, worker, true),
+            Ev::Over(fault, worker) => self.fault(fault, worker, false),
+        }
+    }
+
+    // ---- Clients -------------------------------------------------------------------------------
+
+    fn try_once(&mut self, job: u64) {
+        let Some(asked) = self.jobs.get_mut(&job) else { return };
+        asked.open += 1;
+        let (gives_up, scheduler) = (asked.gives_up, asked.of.scheduler);
+        self.next_id += 1;
+        let request = self.next_id;
+        let zone = self.schedulers[scheduler as usize].zone;
+        let left = gives_up.saturating_sub(self.now);
+        let deadline = gives_up - MARGIN.min(left / 4);
+        let flow = Flow {
+            job,
+            scheduler,
+            deadline,
+            attempts: Vec::new(),
+            out: 0,
+            answered: false,
+            late: false,
+            client_over: false,
+        };
+        self.flows.insert(request, flow);
+        self.referee.asked(RequestId(request), gives_up);
+        let way = self.way(zone, zone);
+        self.at(self.now + way, Ev::Ask(request));
+        self.at(gives_up + GRACE, Ev::GiveUp(request));
+    }
+
+    fn answer(&mut self, request: u64, answer: Final) {
+        self.referee.answered(self.now, RequestId(request));
+        let Some(job) = self.flows.get(&request).map(|flow| flow.job) else { return };
+        let Some(asked) = self.jobs.get_mut(&job).filter(|asked| !asked.ended) else { return };
+        let took = self.now - asked.of.at;
+        match answer {
+            Final::Served => {
+                let class = &self.scenario.classes[asked.of.class as usize];
+                let wanted = micros(class.aim + class.stretch * asked.of.work);
+                self.end_job(job, if took <= wanted { End::InTime } else { End::Late });
+            }
+            Final::Failed => self.end_job(job, End::Failed),
+            Final::Refused(after) => {
+                let heeds = after.min(micros(self.scenario.clients.heed));
+                let spread: f64 = self.retries.random();
+                let wait = heeds + micros(0.01 + 0.2 * spread * heeds as f64 / SECOND as f64);
+                if asked.retries == 0 || self.now + wait + MARGIN >= asked.gives_up {
+                    return self.end_job(job, End::Refused);
+                }
+                asked.retries -= 1;
+                self.at(self.now + wait, Ev::Retry(job));
+            }
+        }
+    }
+
+    fn give_up(&mut self, request: u64) {
+        self.referee.gave_up(self.now, RequestId(request));
+        let Some(flow) = self.flows.get_mut(&request) else { return };
+        flow.client_over = true;
+        let (job, scheduler, open) = (flow.job, flow.scheduler, !flow.answered);
+        if open {
+            flow.answered = true;
+            self.tell(scheduler, Event::Gone(RequestId(request)));
+        }
+        if self.jobs.get(&job).is_some_and(|asked| !asked.ended) {
+            self.end_job(job, End::Lost);
+        }
+        self.close(request);
+    }
+
+    fn end_job(&mut self, job: u64, end: End) {
+        let Some(asked) = self.jobs.get_mut(&job) else { return };
+        asked.ended = true;
+        let class = &self.scenario.classes[asked.of.class as usize];
+        let worth = class.worth * asked.of.work * asked.of.slots;
+        self.tally.ended(asked.of.at, asked.of.class as usize, worth, self.now - asked.of.at, end);
+    }
+
+    /// Lets go of a request that nobody waits for any more.
+    fn close(&mut self, request: u64) {
+        let Some(flow) = self.flows.get(&request) else { return };
+        if flow.client_over && flow.answered && flow.out == 0 {
+            let job = flow.job;
+            self.flows.remove(&request);
+            self.referee.over(RequestId(request));
+            self.forget(job);
+        }
+    }
+
+    fn forget(&mut self, job: u64) {
+        let Some(asked) = self.jobs.get_mut(&job) else { return };
+        asked.open -= 1;
+        if asked.open == 0 && asked.ended {
+            self.jobs.remove(&job);
+            self.referee.job_over(job);
+        }
+    }
+
+    // ---- Schedulers ----------------------------------------------------------------------------
+
+    fn ask(&mut self, request: u64) {
+        let Some(flow) = self.flows.get(&request).filter(|flow| !flow.answered) else { return };
+        let (scheduler, deadline) = (flow.scheduler, flow.deadline);
+        let Some(asked) = self.jobs.get(&flow.job) else { return };
+        let job = Job {
+            request: RequestId(request),
+            class: asked.of.class,
+            tenant: 0,
+            slots: Some(asked.of.slots),
+            cost_hint: asked.of.hint,
+            time_left: deadline.saturating_sub(self.now),
+        };
+        self.at(deadline, Ev::Overdue(request));
+        if self.schedulers[scheduler as usize].policy.sees() {
+            let truth: Vec<Truth> = self.workers.iter().map(|(worker, _)| worker.truth(self.now)).collect();
+            self.schedulers[scheduler as usize].policy.see(&truth);
+        }
+        self.tell(scheduler, Event::Job(job));
+    }
+
+    fn tell(&mut self, scheduler: u32, event: Event<'_>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.schedulers[scheduler as usize].policy.handle(self.now + EPOCH, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { request, worker, .. } => self.send(request.0, worker.0),
+                Action::Refuse { request, retry_after, .. } => {
+                    self.say(request.0, Final::Refused(retry_after));
+                }
+                Action::Fail { request } => self.say(request.0, Final::Failed),
+                Action::Cancel { request, attempt } => {
+                    let flow = self.flows.get(&request.0);
+                    let id = flow.and_then(|flow| flow.attempts.get(attempt as usize)).copied();
+                    if let Some(id) = id {
+                        // Not at once: the module is in the middle of an event.
+                        self.at(self.now, Ev::Outcome(id, Ended::Cancelled));
+                    }
+                }
+                Action::Wake { after, timer } => {
+                    // The world ends some time after its last client.
+                    if self.now + after <= micros(self.scenario.seconds) + 60 * SECOND {
+                        self.at(self.now + after, Ev::Timer(scheduler, timer));
+                    }
+                }
+                Action::Subscribe => {}
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// A final answer leaves for the client: every one, as the referee counts them there.
+    fn say(&mut self, request: u64, answer: Final) {
+        let Some(flow) = self.flows.get_mut(&request) else { return };
+        flow.answered = true;
+        let zone = self.schedulers[flow.scheduler as usize].zone;
+        let way = self.way(zone, zone);
+        self.at(self.now + way, Ev::Answer(request, answer));
+        self.close(request);
+    }
+
+    fn send(&mut self, request: u64, worker: u32) {
+        let Some(flow) = self.flows.get_mut(&request) else { return };
+        self.next_id += 1;
+        let id = self.next_id;
+        let (job, scheduler, moot) = (flow.job, flow.scheduler, flow.late || flow.answered);
+        let number = flow.attempts.len() as u32;
+        flow.attempts.push(id);
+        flow.out += 1;
+        let attempt = Attempt {
+            request,
+            job,
+            number,
+            worker,
+            sent_at: self.now,
+            out: true,
+            there: !moot,
+            breaks: false,
+        };
+        self.attempts.insert(id, attempt);
+        if moot {
+            return self.at(self.now, Ev::Outcome(id, Ended::Moot));
+        }
+        let Some(asked) = self.jobs.get_mut(&job) else { return };
+        asked.open += 1;
+        let load = asked.of.work * asked.of.slots;
+        self.referee.sent(self.now, scheduler, worker, load);
+        self.attempts_sent += 1;
+        let (from, to) = (self.schedulers[scheduler as usize].zone, self.workers[worker as usize].1);
+        self.crossed += u64::from(from != to);
+        let way = self.way(from, to);
+        self.at(self.now + way, Ev::AtWorker(id));
+    }
+
+    /// An attempt's end reaches its scheduler, unless that no longer waits for it.
+    fn end_attempt(&mut self, id: u64, outcome: Ended) {
+        let Some(of) = self.attempts.get_mut(&id).filter(|of| of.out) else { return };
+        of.out = false;
+        let (request, number, worker, sent_at) = (of.request, of.number, of.worker, of.sent_at);
+        if !of.there {
+            self.attempts.remove(&id);
+        }
+        let Some(flow) = self.flows.get_mut(&request) else { return };
+        flow.out -= 1;
+        let scheduler = flow.scheduler;
+        if outcome == Ended::Served && !flow.answered {
+            self.say(request, Final::Served);
+        }
+        let heard = matches!(outcome, Ended::Served | Ended::Error | Ended::Full);
+        let report = heard.then(|| {
+            let refresh = micros(self.scenario.reports.refresh) + self.reports_late;
+            let (noise, sigma) = (&mut self.noise, self.scenario.reports.noise);
+            let draw = || Normal::new(0.0, sigma).map_or(0.0, |normal| normal.sample(noise));
+            self.workers[worker as usize].0.report(self.now, refresh, draw)
+        });
+        let finished = self.flows.get(&request).is_none_or(|flow| flow.answered);
+        let end = AttemptOutcome {
+            request: RequestId(request),
+            attempt: number,
+            outcome,
+            finished,
+            elapsed: self.now - sent_at,
+            report,
+        };
+        self.tell(scheduler, Event::Outcome(end));
+        self.close(request);
+    }
+
+    /// An attempt has left the worker, or never got there.
+    fn left_worker(&mut self, id: u64) {
+        let Some(of) = self.attempts.get_mut(&id) else { return };
+        of.there = false;
+        let job = of.job;
+        if !of.out {
+            self.attempts.remove(&id);
+        }
+        self.forget(job);
+    }
+
+    /// Word of an attempt goes back to its scheduler.
+    fn back(&mut self, id: u64, outcome: Ended) {
+        let Some(of) = self.attempts.get(&id).filter(|of| of.out) else { return };
+        let Some(flow) = self.flows.get(&of.request) else { return };
+        let (from, to) = (self.workers[of.worker as usize].1, self.schedulers[flow.scheduler as usize].zone);
+        let way = self.way(from, to);
+        self.at(self.now + way, Ev::Outcome(id, outcome));
+    }
+
+    // ---- Workers -------------------------------------------------------------------------------
+
+    fn at_worker(&mut self, id: u64) {
+        let Some(of) = self.attempts.get(&id) else { return };
+        let (job, worker) = (of.job, of.worker);
+        let Some(asked) = self.jobs.get(&job) else { return };
+        let of_job = asked.of;
+        let zone = self.workers[worker as usize].1;
+        let class = &self.scenario.classes[of_job.class as usize];
+        let sent_at = of.sent_at;
+        let effect = class.effect();
+        // A repeat of a keyed job is dropped in its zone, and hears what becomes of the first.
+        if let Effect::Keyed { window, .. } = effect {
+            let known = asked.keys.iter().any(|&(_, of, at)| of == zone && self.now <= at + window);
+            if known && self.workers[worker as usize].0.takes() {
+                self.referee.took(self.now, job, id, effect, zone, sent_at);
+                if asked.done {
+                    self.back(id, Ended::Served);
+                    return self.left_worker(id);
+                }
+                if let Some(asked) = self.jobs.get_mut(&job) {
+                    asked.dropped.push(id);
+                }
+                return;
+            }
+        }
+        let (share, draw) = (self.resetting.get(&worker).copied(), self.network.random::<f64>());
+        if let Some(share) = share.filter(|&share| draw < share) {
+            self.back(id, Ended::Reset);
+            if draw < share / 2.0 {
+                return self.left_worker(id);
+            }
+            if let Some(of) = self.attempts.get_mut(&id) {
+                of.breaks = true;
+            }
+        }
+        let Arrival { class, work, slots, .. } = of_job;
+        let offered = Offered { attempt: id, class, work, slots };
+        let mut effects = Vec::new();
+        match self.workers[worker as usize].0.offer(self.now, offered, &mut effects) {
+            Offer::Taken => {
+                self.held.0 += 1;
+                self.referee.took(self.now, job, id, effect, zone, sent_at);
+                if let Some(asked) =
+                    self.jobs.get_mut(&job).filter(|_| matches!(effect, Effect::Keyed { .. }))
+                {
+                    asked.keys.push((id, zone, self.now));
+                }
+                self.effects(worker, effects);
+            }
+            Offer::Full => {
+                self.back(id, Ended::Full);
+                self.left_worker(id);
+            }
+            Offer::Dead => {
+                self.back(id, Ended::ConnectFailed);
+                self.left_worker(id);
+            }
+            Offer::Vanished => {
+                self.at(self.now + CONNECT, Ev::Outcome(id, Ended::ConnectFailed));
+                self.left_worker(id);
+            }
+        }
+    }
+
+    fn effects(&mut self, worker: u32, effects: Vec<worker::Effect>) {
+        for effect in effects {
+            match effect {
+                worker::Effect::Started(id) => {
+                    let Some(of) = self.attempts.get(&id) else { continue };
+                    let (job, tells) = (of.job, of.out && !of.breaks);
+                    let zone = self.workers[worker as usize].1;
+                    let Some(asked) = self.jobs.get(&job) else { continue };
+                    let class = &self.scenario.classes[asked.of.class as usize];
+                    let silent = self.workers[worker as usize].0.silent == Some(asked.of.class);
+                    self.referee.ran(self.now, job, class.effect());
+                    if tells && !silent {
+                        let way = self.way(zone, zone);
+                        self.at(self.now + way, Ev::Started(id));
+                    }
+                }
+                worker::Effect::Done { attempt, told } => {
+                    self.held.0 -= 1;
+                    self.tell_dropped(attempt, Ended::Served);
+                    if told && self.attempts.get(&attempt).is_some_and(|of| !of.breaks) {
+                        self.back(attempt, Ended::Served);
+                    }
+                    self.left_worker(attempt);
+                }
+                worker::Effect::Lost(id) => {
+                    self.held.0 -= 1;
+                    self.tell_dropped(id, Ended::Reset);
+                    self.back(id, Ended::Reset);
+                    self.left_worker(id);
+                }
+                worker::Effect::HandedBack(id) => {
+                    self.held.0 -= 1;
+                    // The key is forgotten with it; a repeat that was dropped for it was so for nothing.
+                    if let Some(job) = self.attempts.get(&id).map(|of| of.job) {
+                        self.referee.handed_back(job, id);
+                        if let Some(asked) = self.jobs.get_mut(&job) {
+                            asked.keys.retain(|&(of, _, _)| of != id);
+                        }
+                    }
+                    self.tell_dropped(id, Ended::Error);
+                    self.back(id, Ended::Full);
+                    self.left_worker(id);
+                }
+                worker::Effect::Fell => {
+                    self.fell += 1;
+                    self.changed(worker);
+                }
+            }
+        }
+        let of = &self.workers[worker as usize].0;
+        if let Some(next) = of.next(self.now) {
+            let epoch = of.epoch;
+            self.at(next, Ev::Wake(worker, epoch));
+        }
+    }
+
+    /// The repeats that were dropped for an attempt hear what became of it.
+    fn tell_dropped(&mut self, of: u64, outcome: Ended) {
+        let Some(job) = self.attempts.get(&of).map(|of| of.job) else { return };
+        let Some(asked) = self.jobs.get_mut(&job) else { return };
+        asked.done |= outcome == Ended::Served;
+        for id in std::mem::take(&mut asked.dropped) {
+            self.back(id, outcome);
+            self.left_worker(id);
+        }
+    }
+
+    // ---- Faults --------------------------------------------------------------------------------
+
+    fn fault(&mut self, number: usize, worker: u32, begins: bool) {
+        let what = self.scenario.faults[number].what;
+        let mut effects = Vec::new();
+        let now = self.now;
+        match what {
+            Trouble::Burst(_) | Trouble::HeavyTail(_) => return,
+            Trouble::ReportsLate(by) => {
+                self.reports_late = if begins { micros(by) } else { 0 };
+                return;
+            }
+            Trouble::DiscoveryDown => {
+                self.discovery_down = if begins { self.discovery_down + 1 } else { self.discovery_down - 1 };
+                if self.discovery_down == 0 {
+                    // The whole list as it is by then, as a watch that begins anew is answered.
+                    let changed = std::mem::take(&mut self.untold);
+                    let now: Vec<_> = changed.iter().map(|entry| self.entry(entry.worker.0)).collect();
+                    self.tell_all(&Arc::new(now));
+                }
+                return;
+            }
+            Trouble::Resetting(share) => {
+                if begins {
+                    self.resetting.insert(worker, share);
+                } else {
+                    self.resetting.remove(&worker);
+                }
+                return;
+            }
+            _ => {}
+        }
+        let of = &mut self.workers[worker as usize].0;
+        match what {
+            Trouble::Slow(factor) => of.change(now, |of| of.slow = if begins { factor } else { 1.0 }),
+            Trouble::Stuck => of.change(now, |of| of.stuck = begins),
+            Trouble::Silent(class) => of.change(now, |of| of.silent = begins.then_some(class)),
+            Trouble::Refusing => of.change(now, |of| of.refusing = begins),
+            Trouble::Crash if begins => of.die(now, Life::Dead, &mut effects),
+            Trouble::Vanish if begins => {
+                let held = of.holds() as u64;
+                of.die(now, Life::Vanished, &mut effects);
+                self.held.0 -= held;
+            }
+            Trouble::Drain if begins => of.drain(now, true, &mut effects),
+            _ => {
+                // What still ran there ends with the old process.
+                of.die(now, Life::Dead, &mut effects);
+                of.restart(now);
+                let build = of.build;
+                let capacity = build.cores.min(build.slots) * build.speed;
+                self.referee.started(now, worker, capacity);
+            }
+        }
+        self.effects(worker, effects);
+        if matches!(what, Trouble::Crash | Trouble::Vanish | Trouble::Drain) {
+            self.changed(worker);
+        }
+    }
+
+    fn outcome(self, kind: Kind, seed: u64) -> Outcome {
+        let names: Vec<String> = self.scenario.classes.iter().map(|class| class.name.clone()).collect();
+        let (breaches, examples) = self.referee.verdict();
+        let jobs: u64 = self.tally.classes.iter().map(|of| of.0).sum();
+        Outcome {
+            scenario: self.scenario.name.clone(),
+            policy: kind.name(),
+            seed,
+            jobs,
+            events: self.events,
+            worth: self.tally.worth,
+            classes: self.tally.classes(&names),
+            seconds: self.tally.seconds.clone(),
+            attempts: self.attempts_sent as f64 / jobs.max(1) as f64,
+            crossing: self.crossed as f64 / self.attempts_sent.max(1) as f64,
+            fell: self.fell,
+            work_done: self.workers.iter().map(|(worker, _)| worker.done_work).sum(),
+            held: self.held.1 / (self.scenario.seconds * SECOND as f64),
+            breaches,
+            examples,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/lab.rs
@@ -0,0 +1,322 @@
+//! The laboratory itself: against closed forms, against itself, and against schedulers that are broken
+//! on purpose.
+use copperspread_decisions::SECOND;
+use copperspread_lab::compare::{Difference, compare, table};
+use copperspread_lab::model::arrivals::Arrivals;
+use copperspread_lab::model::worker::{Build, Effect, Life, Offer, Offered, Order, Worker};
+use copperspread_lab::outcome::Outcome;
+use copperspread_lab::policy::Kind;
+use copperspread_lab::referee::Rule;
+use copperspread_lab::scenario::Scenario;
+use copperspread_lab::sim::play;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// One queue: Poisson arrivals, one worker, no latency, clients that wait for good.
+fn queue(rate: f64, cores: u32, slots: u32, spread: &str) -> Outcome {
+    let text = format!(
+        "name = 'queue'\nabout = 'one queue'\nseconds = 100000.0\nschedulers = 1\n\
+         [clients]\nrate = {rate:?}\n[network]\nnear = 0.0\nfar = 0.0\n[cold]\nfall_seconds = 0.0\n\
+         [[workers]]\nkind = 'w'\ncount = 1\ncores = {cores}.0\nslots = {slots}.0\nspeed = [1.0, 1.0]\nqueue = 1000000\n\
+         [[classes]]\nname = 'c'\nshare = 1.0\nwork = 1.0\nspread = {spread}\naim = 50000.0\ndeadline = 50000.0\n\
+         worth = 1.0\nrepeat = 'never'\n"
+    );
+    play(&Scenario::read(&text).expect("a scenario"), Kind::RoundRobin, 3).expect("it plays")
+}
+
+/// The mean wait in M/M/c, in service times, by Erlang's formula.
+fn erlang_wait(offered: f64, servers: u32) -> f64 {
+    let mut term = 1.0;
+    let mut sum = 1.0;
+    for k in 1..servers {
+        term *= offered / f64::from(k);
+        sum += term;
+    }
+    let last = term * offered / f64::from(servers);
+    let free = f64::from(servers) / (f64::from(servers) - offered);
+    last * free / (sum + last * free) / (f64::from(servers) - offered)
+}
+
+#[test]
+fn queues_wait_as_the_closed_forms_say() {
+    let exponential = "'exponential'";
+    // Load, cores, slots, spread, and the mean time that theory gives.
+    let cases = [
+        (0.5, 1, 1, exponential, 1.0 / (1.0 - 0.5)),
+        (0.7, 1, 1, exponential, 1.0 / (1.0 - 0.7)),
+        // Pollaczek and Khinchin, for work that is always the same.
+        (0.7, 1, 1, "'constant'", 1.0 + 0.7 / (2.0 * (1.0 - 0.7))),
+        (2.8, 4, 4, exponential, 1.0 + erlang_wait(2.8, 4)),
+        // Processor sharing: the mean does not depend on how the work is spread.
+        (0.6, 1, 100_000, exponential, 1.0 / (1.0 - 0.6)),
+        (0.6, 1, 100_000, "'constant'", 1.0 / (1.0 - 0.6)),
+        (0.6, 1, 100_000, "{ lognormal = 0.8 }", 1.0 / (1.0 - 0.6)),
+    ];
+    for (load, cores, slots, spread, theory) in cases {
+        let outcome = queue(load, cores, slots, spread);
+        let mean = outcome.classes[0].mean_ms / 1e3;
+        let off = (mean / theory - 1.0).abs();
+        assert!(
+            off < 0.05,
+            "load {load} on {cores} cores, {slots} slots, {spread}: {mean:.3}, not {theory:.3}"
+        );
+        // Little's law: what is held on average is the rate times the mean time.
+        let rate = outcome.jobs as f64 / 100_000.0;
+        assert!((outcome.held / (rate * mean) - 1.0).abs() < 0.02, "held {}, {rate} x {mean}", outcome.held);
+        // Work is kept: what came was done.
+        assert!((outcome.work_done / outcome.worth.asked - 1.0).abs() < 1e-3);
+    }
+}
+
+/// A small fleet with as much going wrong as fits: resets, a crash, drains, a lost zone.
+fn harsh(rate: f64, faults: &str) -> Scenario {
+    let class = |name: &str, repeat: &str| {
+        format!(
+            "[[classes]]\nname = '{name}'\nshare = 1.0\nwork = 0.3\naim = 0.5\nstretch = 2.0\ndeadline = 5.0\n\
+             worth = 1.0\nrepeat = '{repeat}'\nwindow = 12.0\n"
+        )
+    };
+    let text = format!(
+        "name = 'harsh'\nabout = 'all at once'\nseconds = 60.0\nzones = 3\nschedulers = 3\n\
+         [clients]\nrate = {rate:?}\nretries = 1\nhint_error = 0.3\n[network]\nloss = 0.01\n\
+         [[workers]]\nkind = 'w'\ncount = 9\ncores = 4.0\nslots = 5.0\nspeed = [0.8, 1.2]\nqueue = 20\n{}{}{}{faults}",
+        class("safe", "safe"),
+        class("keyed", "keyed"),
+        class("once", "never"),
+    );
+    Scenario::read(&text).expect("a scenario")
+}
+
+const ALL: &str = "[[faults]]\nat = 5.0\nlasts = 40.0\nshare = 0.4\nwhat = { resetting = 0.2 }\n\
+     [[faults]]\nat = 8.0\nlasts = 4.0\nshare = 0.2\nwhat = 'crash'\n\
+     [[faults]]\nat = 12.0\nlasts = 6.0\nshare = 0.9\nspread_over = 30.0\nwhat = 'drain'\n\
+     [[faults]]\nat = 40.0\nlasts = 5.0\nshare = 1.0\nzone = 1\nwhat = 'vanish'\n\
+     [[faults]]\nat = 20.0\nlasts = 10.0\nwhat = { burst = 1.6 }\n\
+     [[faults]]\nat = 30.0\nlasts = 5.0\nwhat = 'discovery_down'\n\
+     [[faults]]\nat = 25.0\nlasts = 9.0\nshare = 0.2\nwhat = { silent = 2 }\n";
+
+#[test]
+fn a_scheduler_that_is_broken_on_purpose_is_caught_by_its_rule() {
+    let scenario = harsh(40.0, ALL);
+    let planted: &[(Kind, &[Rule])] = &[
+        (Kind::Copperspread, &[]),
+        (Kind::AnswersTwice, &[Rule::OneAnswer]),
+        (Kind::NeverAnswers, &[Rule::AnswerInTime]),
+        (Kind::Resends, &[Rule::UnsafeTwice, Rule::KeyedTwice]),
+        (Kind::IgnoresDrains, &[Rule::Drained]),
+        (Kind::FloodsTheNew, &[Rule::ColdBudget]),
+    ];
+    for (kind, rules) in planted {
+        let outcome = play(&scenario, *kind, 4).expect("it plays");
+        for rule in *rules {
+            assert!(outcome.breaches.contains_key(rule), "{kind:?}: {rule:?} not in {:?}", outcome.breaches);
+        }
+        // Nobody else's rule, so that a verdict points at its cause.
+        let others = outcome.breaches.keys().filter(|rule| !rules.contains(rule)).count();
+        assert_eq!(others, 0, "{kind:?}: {:?} {:?}", outcome.breaches, outcome.examples);
+    }
+}
+
+#[test]
+fn one_seed_gives_the_same_bytes_and_another_one_others() {
+    let scenario = harsh(40.0, ALL);
+    let bytes =
+        |kind, seed| serde_json::to_string(&play(&scenario, kind, seed).expect("it plays")).expect("JSON");
+    for kind in [Kind::Copperspread, Kind::Random, Kind::Oracle] {
+        assert_eq!(bytes(kind, 7), bytes(kind, 7), "{kind:?}");
+        assert_ne!(bytes(kind, 7), bytes(kind, 8), "{kind:?}");
+    }
+}
+
+// What policies are compared on must not depend on them.
+#[test]
+fn all_policies_meet_the_same_arrivals() {
+    let scenario = harsh(40.0, ALL);
+    let arrivals: Vec<_> = Arrivals::new(&scenario, 9).collect();
+    for kind in Kind::COMPARED {
+        let outcome = play(&scenario, kind, 9).expect("it plays");
+        let asked: f64 = arrivals.iter().map(|job| job.work * job.slots).sum();
+        assert_eq!(outcome.jobs, arrivals.len() as u64, "{kind:?}");
+        assert!((outcome.worth.asked / asked - 1.0).abs() < 1e-9, "{kind:?}");
+    }
+}
+
+#[test]
+fn what_hits_a_fleet_costs_and_what_sees_the_truth_loses_least() {
+    let calm = harsh(40.0, "");
+    let seeds = [1, 2, 3, 4];
+    let hit = compare(&harsh(40.0, ALL), &Kind::COMPARED, &seeds).expect("it plays");
+    let calm = compare(&calm, &Kind::COMPARED, &seeds).expect("it plays");
+    for (hit, calm) in hit.iter().zip(&calm) {
+        assert!(hit.share < calm.share - 0.01, "{}: {} and {}", hit.policy, hit.share, calm.share);
+    }
+    let share = |name: &str| hit.iter().find(|row| row.policy == name).expect("a row").share;
+    assert!(share("copperspread") > share("random") + 0.05);
+    assert!(hit[0].behind.is_none() && hit[1].behind.is_some_and(|of| of.shown() && of.mean > 0.05));
+    assert!(table(&harsh(40.0, ALL), &hit).contains("least_outstanding"));
+}
+
+#[test]
+fn a_difference_is_shown_only_where_its_interval_leaves_zero_out() {
+    let cases: &[(&[f64], bool)] = &[
+        (&[0.1, 0.1, 0.1], true),
+        (&[-0.2, -0.1, -0.15, -0.12], true),
+        (&[0.1, -0.1, 0.05, -0.06], false),
+        (&[0.0; 5], false),
+    ];
+    for (pairs, shown) in cases {
+        let of = Difference::of(pairs).expect("pairs");
+        assert_eq!(of.shown(), *shown, "{pairs:?}: {of:?}");
+        assert!(of.interval[0] <= of.mean && of.mean <= of.interval[1]);
+    }
+    assert_eq!(Difference::of(&[]), None);
+}
+
+#[test]
+fn the_scenarios_that_come_along_are_good_and_bad_ones_are_told() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios");
+    let mut names = Vec::new();
+    for file in std::fs::read_dir(folder).expect("a folder").flatten() {
+        let text = std::fs::read_to_string(file.path()).expect("a file");
+        let scenario = Scenario::read(&text).expect("a scenario");
+        assert_eq!(format!("{}.toml", scenario.name), file.file_name().to_string_lossy());
+        assert!(scenario.clients.rate < scenario.capacity(), "{}: more than the fleet can do", scenario.name);
+        names.push(scenario.name);
+    }
+    assert_eq!(names.len(), 10);
+    let good = std::fs::read_to_string(format!("{folder}/zone-lost.toml")).expect("a file");
+    for (from, to, said) in [
+        ("seconds = 90.0", "seconds = 0.0", "seconds: 0 is not over 0"),
+        ("zones = 3", "zoness = 3", "unknown field `zoness`"),
+        ("cores = 4.0", "cores = -4.0", "workers of kind \"snel\": cores"),
+        ("speed = [1.1, 1.5]", "speed = [1.5, 1.1]", "is no range"),
+        ("zone = 1", "zone = 7", "faults[0]: no such class, zone or time"),
+        ("\"vanish\"", "\"explode\"", "unknown variant `explode`"),
+        ("deadline = 5.0", "deadline = nan", "class \"status\": deadline"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let error = Scenario::read(&good.replacen(from, to, 1)).expect_err(to);
+        assert!(error.contains(said), "{to}: {error}");
+    }
+}
+
+fn build() -> Build {
+    Build {
+        cores: 2.0,
+        slots: 2.0,
+        speed: 1.0,
+        queue: 2,
+        order: Order::Fifo,
+        cold_from: 0.25,
+        cold_for: 20 * SECOND,
+        fall_multiple: 2.0,
+        fall_window: Some(2 * SECOND),
+    }
+}
+
+fn job(attempt: u64, work: f64) -> Offered {
+    Offered { attempt, class: 0, work, slots: 1.0 }
+}
+
+#[test]
+fn a_worker_fills_its_slots_then_its_queue_and_hands_back_what_has_not_started() {
+    let mut worker = Worker::new(build());
+    let mut effects = Vec::new();
+    let offers: Vec<_> = (0..5).map(|at| worker.offer(0, job(at, 1.0), &mut effects)).collect();
+    assert_eq!(offers, [Offer::Taken, Offer::Taken, Offer::Taken, Offer::Taken, Offer::Full]);
+    assert_eq!(effects, [Effect::Started(0), Effect::Started(1)]);
+    effects.clear();
+    assert_eq!(worker.next(0), Some(SECOND));
+    worker.drain(SECOND / 2, true, &mut effects);
+    assert_eq!(effects, [Effect::HandedBack(2), Effect::HandedBack(3)]);
+    assert_eq!(worker.offer(SECOND / 2, job(9, 1.0), &mut effects), Offer::Full);
+    effects.clear();
+    worker.advance(SECOND, &mut effects);
+    assert_eq!(effects, [0, 1].map(|attempt| Effect::Done { attempt, told: true }));
+    assert!((worker.done_work - 2.0).abs() < 1e-6 && worker.holds() == 0);
+}
+
+#[test]
+fn a_cold_worker_is_slow_at_first_and_falls_over_under_a_flood() {
+    let mut worker = Worker::new(build());
+    worker.restart(0);
+    assert_eq!(
+        (worker.warmth(0), worker.warmth(10 * SECOND), worker.warmth(40 * SECOND)),
+        (0.25, 0.625, 1.0)
+    );
+    let mut effects = Vec::new();
+    // At a quarter of two cores, twice that for 2 s is 2 core-seconds.
+    assert_eq!(worker.offer(0, job(1, 1.9), &mut effects), Offer::Taken);
+    assert_eq!(worker.life, Life::Up);
+    effects.clear();
+    worker.offer(0, job(2, 0.2), &mut effects);
+    assert_eq!(
+        (worker.life, &effects[..]),
+        (Life::Dead, &[Effect::Fell, Effect::Lost(1), Effect::Lost(2)][..])
+    );
+    assert_eq!(worker.offer(0, job(3, 0.1), &mut effects), Offer::Dead);
+    worker.restart(SECOND);
+    // The same work spread out does it no harm.
+    for step in 0..12 {
+        worker.offer(SECOND + step * SECOND, job(10 + step, 0.4), &mut effects);
+        worker.advance(SECOND + step * SECOND + SECOND / 2, &mut effects);
+    }
+    assert_eq!(worker.life, Life::Up);
+}
+
+#[test]
+fn a_worker_that_is_stuck_silent_refusing_or_out_of_reach_shows_it() {
+    let mut effects = Vec::new();
+    let mut stuck = Worker::new(build());
+    stuck.offer(0, job(1, 1.0), &mut effects);
+    stuck.change(0, |of| of.stuck = true);
+    assert_eq!(stuck.next(0), None);
+    stuck.change(5 * SECOND, |of| of.stuck = false);
+    assert_eq!(stuck.next(5 * SECOND), Some(6 * SECOND), "it goes on where it stood");
+    let mut silent = Worker::new(build());
+    silent.change(0, |of| of.silent = Some(0));
+    silent.offer(0, job(1, 1.0), &mut effects);
+    effects.clear();
+    silent.advance(SECOND, &mut effects);
+    assert_eq!(effects, [Effect::Done { attempt: 1, told: false }]);
+    let mut refusing = Worker::new(build());
+    refusing.change(0, |of| of.refusing = true);
+    assert_eq!(refusing.offer(0, job(1, 1.0), &mut effects), Offer::Dead);
+    let mut away = Worker::new(build());
+    away.offer(0, job(1, 1.0), &mut effects);
+    effects.clear();
+    away.die(0, Life::Vanished, &mut effects);
+    assert_eq!((effects.len(), away.offer(0, job(2, 1.0), &mut effects)), (0, Offer::Vanished));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Whatever goes wrong and whoever decides: each job ends in one way, and the module breaks no rule.
+    #[test]
+    fn worth_is_kept_and_the_module_breaks_no_rule(
+        seed in 0_u64..1_000,
+        rate in 5.0..70.0_f64,
+        at in 1.0..30.0_f64,
+        share in 0.1..1.0_f64,
+        which in 0_usize..8,
+        policy in 0_usize..6,
+    ) {
+        let what = ["'crash'", "'vanish'", "'drain'", "'stuck'", "'refusing'", "{ slow = 6.0 }", "{ silent = 1 }",
+            "{ resetting = 0.5 }"][which];
+        let fault = format!("[[faults]]\nat = {at:?}\nlasts = 6.0\nshare = {share:?}\nwhat = {what}\n");
+        let scenario = harsh(rate, &fault);
+        let outcome = play(&scenario, Kind::COMPARED[policy], seed).expect("it plays");
+        let worth = outcome.worth;
+        let parts = worth.in_time + worth.late + worth.refused + worth.failed + worth.lost;
+        prop_assert!((parts - worth.asked).abs() < 1e-6 * worth.asked.max(1.0));
+        prop_assert_eq!(outcome.jobs, Arrivals::new(&scenario, seed).count() as u64);
+        let module = play(&scenario, Kind::Copperspread, seed).expect("it plays");
+        prop_assert!(module.breaches.is_empty(), "{:?} {:?}", module.breaches, module.examples);
+    }
+}
