Add an open-loop load tool and benchmarks of the decisions to the laboratory

Change: copperspread-lab load sends a scenario's arrivals over HTTP, each at its instant, with times from the instant meant; bounded in count and time, loopback only unless told otherwise.

--- /dev/null
+++ b/crates/lab/benches/decisions.rs
@@ -0,0 +1,66 @@
+//! What a decision costs: a job with its outcome, a sweep, a change of the list. Run it with
+//! `cargo bench -p copperspread-lab`.
+use copperspread_decisions::*;
+use divan::Bencher;
+
+const FLEETS: [u32; 5] = [10, 100, 1_000, 10_000, 100_000];
+
+fn main() {
+    divan::main();
+}
+
+fn entry(worker: u32) -> WorkerEntry {
+    let (zone, state) = (worker % 3, WorkerState::Ready);
+    WorkerEntry { worker: WorkerId(worker), zone, kind: worker % 3, cell: zone, state, started_at: None }
+}
+
+fn dispatcher(workers: u32) -> Dispatcher {
+    let class = Class { aim: SECOND, stretch: 2.0, effect: Effect::Safe, ..Class::default() };
+    let settings =
+        Settings { classes: vec![class], max_attempts: 4, may_cancel: true, ..Settings::default() };
+    let mut dispatcher = Dispatcher::new(settings, 7).expect("good settings");
+    let entries: Vec<_> = (0..workers).map(entry).collect();
+    let roster = Roster { kind: RosterKind::Full, version: 1, entries: &entries };
+    dispatcher.handle(SECOND, Event::Roster(roster), &mut Vec::new());
+    dispatcher
+}
+
+#[divan::bench(args = FLEETS)]
+fn job_and_outcome(bencher: Bencher<'_, '_>, workers: u32) {
+    let (mut dispatcher, mut actions) = (dispatcher(workers), Vec::new());
+    let (mut now, mut request) = (2 * SECOND, RequestId(0));
+    bencher.bench_local(|| {
+        (now, request.0) = (now + 1_000, request.0 + 1);
+        let job = Job { request, cost_hint: Some(0.1), time_left: 5 * SECOND, ..Job::default() };
+        dispatcher.handle(now, Event::Job(job), &mut actions);
+        let (outcome, elapsed) = (Outcome::Served, 100_000);
+        let end = AttemptOutcome { request, attempt: 0, outcome, finished: true, elapsed, report: None };
+        dispatcher.handle(now + elapsed, Event::Outcome(end), &mut actions);
+        actions.clear();
+    });
+}
+
+#[divan::bench(args = FLEETS)]
+fn sweep(bencher: Bencher<'_, '_>, workers: u32) {
+    let (mut dispatcher, mut actions) = (dispatcher(workers), Vec::new());
+    let mut now = 2 * SECOND;
+    bencher.bench_local(|| {
+        now += SECOND;
+        dispatcher.handle(now, Event::Timer(Timer::Sweep), &mut actions);
+        actions.clear();
+    });
+}
+
+#[divan::bench(args = FLEETS)]
+fn one_change_of_the_list(bencher: Bencher<'_, '_>, workers: u32) {
+    let (mut dispatcher, mut actions) = (dispatcher(workers), Vec::new());
+    let (mut now, mut version) = (2 * SECOND, 1);
+    bencher.bench_local(|| {
+        (now, version) = (now + 1_000, version + 1);
+        let state = if version % 2 == 0 { WorkerState::Draining } else { WorkerState::Ready };
+        let changed = [WorkerEntry { state, ..entry(workers / 2) }];
+        let roster = Roster { kind: RosterKind::Changes, version, entries: &changed };
+        dispatcher.handle(now, Event::Roster(roster), &mut actions);
+        actions.clear();
+    });
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,9 +9,12 @@
 //!    baselines)                 └──► outcome.rs ──► compare.rs (paired by seed)
 //! ```
 //!
+//! `load.rs` sends the same arrivals over real sockets.
+//!
 //! The model does no I/O and reads no clock. All chance comes from one seed, with a stream for each
 //! component, so that two variants of one experiment meet the same arrivals.
 pub mod compare;
+pub mod load;
 pub mod model;
 pub mod outcome;
 pub mod policy;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,10 +9,14 @@
 
 use clap::{Parser, Subcommand};
 use copperspread_lab::compare::{compare, table};
+use copperspread_lab::load::load;
 use copperspread_lab::policy::Kind;
 use copperspread_lab::scenario::Scenario;
 use copperspread_lab::sim::play;
 
+/// Longest load that is sent, in seconds: it stops by itself.
+const LONGEST: f64 = 3_600.0;
+
 /// Plays scenarios of workers, clients and failures against the scheduler's decisions.
 #[derive(Debug, Parser)]
 #[command(name = "copperspread-lab", version)]
@@ -44,6 +48,32 @@
         #[arg(long)]
         json: bool,
     },
+    /// Send a scenario's jobs over HTTP, in an open loop: a slow answer holds no later job back
+    Load {
+        /// A scenario's name, or a file: its classes, rate and bursts
+        scenario: String,
+        /// Where to send them
+        #[arg(long, default_value = "127.0.0.1:8081")]
+        target: std::net::SocketAddr,
+        /// Jobs a second, in place of the scenario's
+        #[arg(long)]
+        rate: Option<f64>,
+        /// Seconds, in place of the scenario's; an hour at most
+        #[arg(long)]
+        seconds: Option<f64>,
+        /// Most requests that are open at once; past that, jobs are not sent, and counted
+        #[arg(long, default_value_t = 1_024)]
+        most_open: usize,
+        /// The seed of the arrivals
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Also to an address that is not this machine's own
+        #[arg(long)]
+        anywhere: bool,
+        /// Print the outcome as JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Play scenarios under the module and the baselines, in pairs of one seed
     Compare {
         /// Scenarios' names or files; none is all that come with the program but the large one
@@ -179,6 +209,22 @@
             print(&text)?;
             Ok(kept)
         }
+        Command::Load { scenario: name, target, rate, seconds, most_open, seed, anywhere, json: whole } => {
+            if !target.ip().is_loopback() && !anywhere {
+                return Err(format!(
+                    "{target} is not this machine's own; --anywhere sends there all the same"
+                ));
+            }
+            let mut scenario = scenario(&name)?;
+            scenario.clients.rate = rate.unwrap_or(scenario.clients.rate);
+            scenario.seconds = seconds.unwrap_or(scenario.seconds).min(LONGEST);
+            scenario.check()?;
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+            let report = runtime.block_on(load(&scenario, seed, target, most_open));
+            print(&if whole { json(&report)? } else { report.text() })?;
+            Ok(true)
+        }
         Command::Compare { scenarios, seeds, policies, json: whole } => {
             let names = match scenarios.is_empty() {
                 false => scenarios,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -303,7 +303,11 @@
         Ok(scenario)
     }
 
-    fn check(&self) -> Result<(), String> {
+    /// Checks its figures.
+    ///
+    /// # Errors
+    /// What is wrong, with its key.
+    pub fn check(&self) -> Result<(), String> {
         let positive = |name: &str, value: f64| {
             if value.is_finite() && value > 0.0 {
                 Ok(())
