Write comparisons of the laboratory as one HTML report with plots

Need: a table tells how much a fault costs and not when, nor where the worth went.

Share served in time by second and policy, where the first policy's worth went, classes, faults as bands; lines differ by dashes.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod outcome;
 pub mod policy;
 pub mod referee;
+pub mod report;
 pub mod scenario;
 pub mod sim;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,7 @@
 use copperspread_lab::compare::{compare, table};
 use copperspread_lab::load::load;
 use copperspread_lab::policy::Kind;
+use copperspread_lab::report::html;
 use copperspread_lab::scenario::Scenario;
 use copperspread_lab::sim::play;
 
@@ -87,6 +88,9 @@
         /// Print all outcomes as JSON
         #[arg(long)]
         json: bool,
+        /// Write a report too: one HTML file that needs nothing else
+        #[arg(long, value_name = "FILE")]
+        report: Option<std::path::PathBuf>,
     },
 }
 
@@ -225,7 +229,7 @@
             print(&if whole { json(&report)? } else { report.text() })?;
             Ok(true)
         }
-        Command::Compare { scenarios, seeds, policies, json: whole } => {
+        Command::Compare { scenarios, seeds, policies, json: whole, report } => {
             let names = match scenarios.is_empty() {
                 false => scenarios,
                 true => {
@@ -234,10 +238,16 @@
             };
             let policies = if policies.is_empty() { Kind::COMPARED.to_vec() } else { policies };
             let seeds: Vec<u64> = (1..=seeds.max(1)).collect();
+            let mut played = Vec::new();
             for name in names {
                 let scenario = scenario(&name)?;
                 let rows = compare(&scenario, &policies, &seeds)?;
                 print(&if whole { json(&rows)? } else { table(&scenario, &rows) + "\n" })?;
+                played.push((scenario, rows));
+            }
+            if let Some(path) = report {
+                let page = html(&played)?;
+                std::fs::write(&path, page).map_err(|e| format!("{}: {e}", path.display()))?;
             }
             Ok(true)
         }
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,219 @@
+//! A comparison as one HTML file that needs nothing else: tables, and plots as SVG.
+use minijinja::{Environment, context};
+use plotters::element::DashedPathElement;
+use plotters::prelude::*;
+
+use crate::compare::Row;
+use crate::outcome::Worth;
+use crate::scenario::Scenario;
+
+/// Okabe and Ito's colours, told apart by most eyes; in grey print the lines differ by their dashes.
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(0, 0, 0),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 114, 178),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(230, 159, 0),
+];
+const SIZE: (u32, u32) = (940, 300);
+/// Width of a plot's legend.
+const LEGEND: u32 = 168;
+/// Seconds over which a plot's figures are averaged.
+const SMOOTH: usize = 3;
+
+type Points = Vec<(f64, f64)>;
+
+/// The page for scenarios with their rows; the first row of each is the one that is looked at closely.
+///
+/// # Errors
+/// A plot or a template that fails, which would be a fault of this program.
+pub fn html(played: &[(Scenario, Vec<Row>)]) -> Result<String, String> {
+    let mut parts = Vec::new();
+    for (scenario, rows) in played {
+        let Some(first) = rows.first() else { continue };
+        let seconds = scenario.seconds.ceil() as usize;
+        let lines: Vec<(String, Points)> =
+            rows.iter().map(|row| (row.policy.clone(), smooth(&sums(row, seconds), Worth::share))).collect();
+        let table: Vec<_> = rows
+            .iter()
+            .map(|row| {
+                let behind = match &row.behind {
+                    None => String::new(),
+                    Some(of) if row.runs.len() < 3 => {
+                        format!("{:+.3}, too few seeds for an interval", of.mean)
+                    }
+                    Some(of) if !of.shown() => "no difference shown".to_owned(),
+                    Some(of) => format!("{:+.3} [{:+.3}, {:+.3}]", of.mean, of.interval[0], of.interval[1]),
+                };
+                let went = row.went.map(|share| format!("{share:.3}"));
+                let share = format!("{:.3}", row.share);
+                context! { policy => row.policy, share, went, breaches => row.breaches, behind }
+            })
+            .collect();
+        let runs = first.runs.len().max(1) as u64;
+        // Classes of the first seed: quantiles of several runs do not add up.
+        let classes: Vec<_> = first.runs.first().map_or_else(Vec::new, |run| {
+            let one = |class: &crate::outcome::OfClass| {
+                let [median, most99, most] = class.served_ms.map(|ms| format!("{ms:.0}"));
+                let share = format!("{:.3}", class.worth.share());
+                context! { name => class.name, jobs => class.jobs, share, median, most99, most }
+            };
+            run.classes.iter().map(one).collect()
+        });
+        let faults: Vec<String> = scenario
+            .faults
+            .iter()
+            .map(|of| format!("{:?} from {} s for {} s", of.what, of.at, of.lasts))
+            .collect();
+        parts.push(context! {
+            name => scenario.name,
+            about => scenario.about,
+            first => first.policy,
+            seeds => first.runs.len(),
+            jobs => first.runs.iter().map(|run| run.jobs).sum::<u64>() / runs,
+            rows => table,
+            shares => shares(scenario, &lines)?,
+            went => went(scenario, &sums(first, seconds))?,
+            classes,
+            faults,
+        });
+    }
+    let mut environment = Environment::new();
+    environment.add_template("report.html", include_str!("report.html")).map_err(|e| e.to_string())?;
+    let page = environment.get_template("report.html").and_then(|page| page.render(context! { parts }));
+    page.map_err(|e| e.to_string())
+}
+
+/// Worth by second, the mean over all runs of a row.
+fn sums(row: &Row, seconds: usize) -> Vec<Worth> {
+    let runs = row.runs.len().max(1) as f64;
+    let mut sums = vec![Worth::default(); seconds];
+    for run in &row.runs {
+        for (sum, worth) in sums.iter_mut().zip(&run.seconds) {
+            sum.asked += worth.asked / runs;
+            sum.in_time += worth.in_time / runs;
+            sum.late += worth.late / runs;
+            sum.refused += worth.refused / runs;
+            sum.failed += worth.failed / runs;
+            sum.lost += worth.lost / runs;
+        }
+    }
+    sums
+}
+
+/// A figure of each second, over the seconds round it.
+fn smooth(sums: &[Worth], of: impl Fn(&Worth) -> f64) -> Points {
+    let window = |at: usize| {
+        let part = &sums[at.saturating_sub(SMOOTH / 2)..(at + SMOOTH / 2 + 1).min(sums.len())];
+        let add = |figure: fn(&Worth) -> f64| part.iter().map(figure).sum::<f64>() / part.len() as f64;
+        Worth {
+            asked: add(|w| w.asked),
+            in_time: add(|w| w.in_time),
+            late: add(|w| w.late),
+            refused: add(|w| w.refused),
+            failed: add(|w| w.failed),
+            lost: add(|w| w.lost),
+        }
+    };
+    (0..sums.len()).map(|at| (at as f64 + 0.5, of(&window(at)))).collect()
+}
+
+fn shares(scenario: &Scenario, lines: &[(String, Points)]) -> Result<String, String> {
+    let lowest = lines.iter().flat_map(|(_, points)| points).map(|point| point.1).fold(1.0, f64::min);
+    // Down to the next tenth below the lowest, so that small differences can be seen.
+    let floor = ((lowest * 10.0).floor() / 10.0).clamp(0.0, 0.9);
+    plot(scenario, floor, 1.0, |chart| {
+        let mut marks = Vec::new();
+        for (number, (name, points)) in lines.iter().enumerate() {
+            let style = COLOURS[number % COLOURS.len()].stroke_width(if number == 0 { 3 } else { 2 });
+            let (size, gap) = [(1_000, 0), (8, 3), (3, 3), (12, 5), (5, 2), (2, 5)][number % 6];
+            let dashed = DashedLineSeries::new(points.iter().copied(), size, gap, style);
+            chart.draw_series(dashed).map_err(|e| e.to_string())?;
+            marks.push(Mark { name: name.clone(), style, dash: Some((size, gap)) });
+        }
+        Ok(marks)
+    })
+}
+
+fn went(scenario: &Scenario, sums: &[Worth]) -> Result<String, String> {
+    type Figure = fn(&Worth) -> f64;
+    // Each band reaches from the one before up to its own sum; drawn from the highest down.
+    let bands: [(&str, Figure, RGBColor); 5] = [
+        ("lost", |w| w.in_time + w.late + w.refused + w.failed + w.lost, COLOURS[0]),
+        ("failed", |w| w.in_time + w.late + w.refused + w.failed, COLOURS[4]),
+        ("refused", |w| w.in_time + w.late + w.refused, COLOURS[5]),
+        ("late", |w| w.in_time + w.late, COLOURS[1]),
+        ("in time", |w| w.in_time, RGBColor(150, 200, 235)),
+    ];
+    let highest = smooth(sums, |w| w.asked).iter().map(|point| point.1).fold(1e-9, f64::max);
+    plot(scenario, 0.0, highest * 1.05, |chart| {
+        let mut marks = Vec::new();
+        for (name, figure, colour) in bands {
+            let area = AreaSeries::new(smooth(sums, figure), 0.0, colour.filled());
+            chart.draw_series(area).map_err(|e| e.to_string())?;
+            marks.push(Mark { name: name.to_owned(), style: colour.filled(), dash: None });
+        }
+        Ok(marks)
+    })
+}
+
+/// A line of a plot's legend.
+struct Mark {
+    name: String,
+    style: ShapeStyle,
+    /// For a line, its dashes; for an area, none.
+    dash: Option<(u32, u32)>,
+}
+
+type Chart<'a, 'b> = ChartContext<
+    'a,
+    SVGBackend<'b>,
+    Cartesian2d<plotters::coord::types::RangedCoordf64, plotters::coord::types::RangedCoordf64>,
+>;
+
+/// A plot over the scenario's seconds with its faults as bands, and what `draw` puts over them.
+fn plot(
+    scenario: &Scenario,
+    low: f64,
+    high: f64,
+    draw: impl FnOnce(&mut Chart<'_, '_>) -> Result<Vec<Mark>, String>,
+) -> Result<String, String> {
+    let said = |error: &dyn std::fmt::Display| error.to_string();
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(|e| said(&e))?;
+        // The legend has the margin on the right to itself, so that it covers no line.
+        let mut builder = ChartBuilder::on(&area);
+        builder.margin(8).margin_right(LEGEND).x_label_area_size(34).y_label_area_size(48);
+        let mut chart = builder.build_cartesian_2d(0.0..scenario.seconds, low..high).map_err(|e| said(&e))?;
+        for fault in &scenario.faults {
+            let end = (fault.at + fault.spread_over + fault.lasts).min(scenario.seconds);
+            let band = Rectangle::new([(fault.at, low), (end, high)], RGBColor(225, 225, 225).filled());
+            chart.draw_series([band]).map_err(|e| said(&e))?;
+        }
+        let mut mesh = chart.configure_mesh();
+        mesh.disable_x_mesh()
+            .x_desc("seconds")
+            .label_style(("sans-serif", 13))
+            .light_line_style(WHITE.mix(0.0));
+        mesh.draw().map_err(|e| said(&e))?;
+        // Drawn by hand: the library keeps its legend inside the plot, where it would cover lines.
+        for (number, mark) in draw(&mut chart)?.into_iter().enumerate() {
+            let (x, y) = ((SIZE.0 - LEGEND) as i32 + 14, 18 + 20 * number as i32);
+            match mark.dash {
+                None => area.draw(&Rectangle::new([(x, y - 5), (x + 24, y + 5)], mark.style)),
+                Some((size, gap)) => {
+                    let line = [(x, y), (x + 24, y)];
+                    area.draw(&DashedPathElement::new(line, size, gap, mark.style))
+                }
+            }
+            .map_err(|e| said(&e))?;
+            let text = Text::new(mark.name, (x + 32, y - 6), ("sans-serif", 13));
+            area.draw(&text).map_err(|e| said(&e))?;
+        }
+        area.present().map_err(|e| said(&e))?;
+    }
+    Ok(svg)
+}
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -7,6 +7,7 @@
 use copperspread_lab::outcome::Outcome;
 use copperspread_lab::policy::Kind;
 use copperspread_lab::referee::Rule;
+use copperspread_lab::report::html;
 use copperspread_lab::scenario::Scenario;
 use copperspread_lab::sim::play;
 use proptest::prelude::*;
@@ -289,6 +290,25 @@
     assert_eq!((effects.len(), away.offer(0, job(2, 1.0), &mut effects)), (0, Offer::Vanished));
 }
 
+#[test]
+fn a_report_stands_alone_and_shows_what_the_table_says() {
+    let scenario = harsh(40.0, ALL);
+    let rows = compare(&scenario, &Kind::COMPARED, &[1, 2, 3]).expect("it plays");
+    let share = format!("<td>{:.3}", rows[0].share);
+    let page = html(&[(scenario, rows)]).expect("a page");
+    assert!(page.contains(&share) && page.contains("least_outstanding") && page.contains("Resetting(0.2)"));
+    assert_eq!(page.matches("<svg").count(), 2);
+    // Nothing is fetched: the only address is the name of SVG's own space.
+    let addresses = page.matches("http").count();
+    assert_eq!(addresses, page.matches("http://www.w3.org/2000/svg").count());
+    assert!(!page.contains("<script") && !page.contains("NaN"));
+    // A name from a file does not become a part of the page.
+    let mut named = harsh(5.0, "");
+    named.name = "<b>x".into();
+    let rows = compare(&named, &[Kind::Random], &[1]).expect("it plays");
+    assert!(!html(&[(named, rows)]).expect("a page").contains("<b>x"));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 24,
