Name all that a reload cannot follow, and mend what a second reading found

In the laboratory a list of workers met by faults was written and never read, a comment said that fewer than three pairs show nothing while the code showed it, and faults with a length that is no number or a share over 1 were taken.

Change: a reload compares records and log.format too; Difference counts its pairs and words itself, once for table and report; scenarios' faults are checked. Tests cause each, and that a bad call-back becomes a limit record end to end.

--- a/crates/copperspread/src/origin.rs
+++ b/crates/copperspread/src/origin.rs
@@ -34,6 +34,20 @@
     pub records: Option<writer::Spec>,
 }
 
+impl Told {
+    /// The parts in which another reading differs and which only a new start can change.
+    pub fn fixed_unlike(&self, other: &Told) -> Vec<&'static str> {
+        let mut parts = self.start.fixed_unlike(&other.start);
+        if self.log.json != other.log.json {
+            parts.push("log.format");
+        }
+        if self.records != other.records {
+            parts.push("records");
+        }
+        parts
+    }
+}
+
 impl Origin {
     /// The file that the platform names.
     pub fn of_platform() -> Option<Origin> {
--- a/crates/copperspread/src/serve.rs
+++ b/crates/copperspread/src/serve.rs
@@ -18,7 +18,7 @@
 use copperspread_node::witness::Witness;
 use copperspread_records::What;
 use copperspread_records::writer::{self, Counts, Recorder};
-use copperspread_settings::{List, SourceSpec, Start};
+use copperspread_settings::{List, SourceSpec};
 use http::uri::Authority;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -83,13 +83,13 @@
 
 /// Reads the configuration again, follows the source that it names and takes its log's level. Guards
 /// against one that cannot be used, half-written or wrong: the old one stays as a whole.
-fn read_again(origin: &Origin, started_with: &Start, source: &Moving, log: &Log) {
+fn read_again(origin: &Origin, started_with: &Told, source: &Moving, log: &Log) {
     let told = origin.read().and_then(|told| log.follow(&told.log).map(|()| told));
     let told = match told {
         Ok(told) => told,
         Err(why) => return warn!("the old configuration stays: {}", one_line(&why)),
     };
-    let fixed = started_with.fixed_unlike(&told.start);
+    let fixed = started_with.fixed_unlike(&told);
     if !fixed.is_empty() {
         warn!("changes only with a new start: {}", fixed.join(", "));
     }
@@ -102,12 +102,13 @@
 }
 
 async fn serve(
-    config: Start,
+    started: Told,
     origin: &Origin,
     log: &Log,
     recorder: &Recorder,
     toy: bool,
 ) -> Result<(), String> {
+    let config = &started.start;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
@@ -168,7 +169,7 @@
             _ = term.recv() => break,
             // Guards against an end by SIGHUP, also after SIGTERM: the handler stays.
             _ = hup.recv() => match origin.unsettled() {
-                None => read_again(origin, &config, &moving, log),
+                None => read_again(origin, &started, &moving, log),
                 Some(text) => settling = Some((text, from_now(SETTLE))),
             },
             // Guards against a file that is being written: cut short, it may still be a good one.
@@ -176,7 +177,7 @@
                 let seen = settling.take().map(|(text, _)| text);
                 let now = origin.unsettled();
                 if now == seen {
-                    read_again(origin, &config, &moving, log);
+                    read_again(origin, &started, &moving, log);
                 } else {
                     settling = now.map(|text| (text, from_now(SETTLE)));
                 }
@@ -205,9 +206,9 @@
 /// # Errors
 /// A configuration that cannot be used, or an address that cannot be listened on.
 pub fn run(origin: &Origin, toy: bool) -> Result<(), String> {
-    let Told { start, log, records } = origin.read()?;
-    let log = logging::begin(&log)?;
-    let (recorder, writer) = match records {
+    let told = origin.read()?;
+    let log = logging::begin(&told.log)?;
+    let (recorder, writer) = match told.records.clone() {
         None => (Recorder::off(), None),
         Some(spec) => {
             let name = spec.file.display().to_string();
@@ -216,7 +217,7 @@
         }
     };
     let runtime = runtime()?;
-    let served = runtime.block_on(serve(start, origin, &log, &recorder, toy));
+    let served = runtime.block_on(serve(told, origin, &log, &recorder, toy));
     if let Some(writer) = writer {
         recorder.close();
         let whole = writer.finish();
--- a/crates/copperspread/tests/records.rs
+++ b/crates/copperspread/tests/records.rs
@@ -49,6 +49,8 @@
     let id = worker.asked().await.accept();
     scheduler.call_back(&id, "r0", DONE).await;
     client.heard().await.expect("an answer");
+    // What is counted is a record too.
+    assert_eq!(scheduler.news("no JSON").await, 400);
     // One that is refused: it would end later than its client waits.
     client.job("once", 2, 0).await;
     assert_eq!(client.heard().await.expect("an answer").status(), 503);
@@ -72,6 +74,8 @@
     assert_eq!((&ended["outcome"], &ended["free_slots"]), (&"served".into(), &1.5.into()));
     let (stat, _) = read(&["records", "stat"], &file);
     assert!(stat.contains("class once: taken 2, refused 1, served 1"), "{stat}");
+    let (out, _) = read(&["records", "cat"], &file);
+    assert!(out.contains(r#"{"kind":"limit","what":"bad call-back","count":1}"#), "{out}");
     assert!(stat.contains("ended\n") && !stat.contains("missing"), "{stat}");
     let _ = std::fs::remove_file(&file);
 }
@@ -113,10 +117,7 @@
     let scheduler = start(&worker, Path::new("/dev/full")).await;
     let mut client = scheduler.client().await;
     for number in 1..20 {
-        client.job("once", number, 9000).await;
-        let id = worker.asked().await.accept();
-        scheduler.call_back(&id, "r0", DONE).await;
-        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+        scheduler.serves(&mut client, &mut worker, number, DONE).await;
     }
     drop(scheduler);
     // Where the platform's file is read, no variable begins a record: its disk does not last.
--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -243,6 +243,13 @@
         let text = format!("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: {length}\r\n\r\n{body}");
         self.client().await.ask(&text).await.status()
     }
+    /// A job of the class `once` goes to the worker r0 and is done.
+    pub async fn serves(&self, client: &mut Client, worker: &mut Party, number: u64, done: &str) {
+        client.job("once", number, 9000).await;
+        let id = worker.asked().await.accept();
+        assert_eq!(self.call_back(&id, "r0", done).await, 204);
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
     pub async fn terminate(&self) {
         self.signal("TERM").await;
     }
--- a/crates/copperspread/tests/standalone.rs
+++ b/crates/copperspread/tests/standalone.rs
@@ -46,6 +46,10 @@
     }
     client.job("once", 9, 9000).await;
     two.asked().await.accept();
+    // What only a new start can change is named, whatever part of the file it stands in.
+    let other = "[log]\nformat = 'text'\n[records]\nkeep = 9\nfile = 'r'\n[limits]\ndescriptors = 300\n";
+    let lines = scheduler.reload(&changed.replace("[front", &format!("{other}[front"))).await;
+    assert!(lines[0].contains("new start: limits, log.format, records\""), "{lines:?}");
 }
 
 // Guards against a file that is replaced piece by piece while SIGHUP is heeded: its first half is a
@@ -145,10 +149,7 @@
     let mut client = scheduler.client().await;
     // Some lines of some hundred bytes a job: more than a pipe holds, and nobody takes one.
     for number in 1..400 {
-        client.job("once", number, 9000).await;
-        let id = one.asked().await.accept();
-        scheduler.call_back(&id, "r0", DONE).await;
-        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+        scheduler.serves(&mut client, &mut one, number, DONE).await;
     }
     scheduler.terminate().await;
     assert!(scheduler.child.wait().await.expect("it ends").success());
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -16,6 +16,24 @@
     pub mean: f64,
     /// The interval that holds 95% of the resampled means.
     pub interval: [f64; 2],
+    /// How many pairs.
+    pub pairs: usize,
+}
+
+/// Of fewer pairs an interval says nothing.
+const FEWEST: usize = 3;
+
+impl std::fmt::Display for Difference {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (mean, [low, high]) = (self.mean, self.interval);
+        if self.pairs < FEWEST {
+            write!(f, "{mean:+.3} (too few seeds for an interval)")
+        } else if self.shown() {
+            write!(f, "{mean:+.3} [{low:+.3}, {high:+.3}]")
+        } else {
+            write!(f, "no difference shown [{low:+.3}, {high:+.3}]")
+        }
+    }
 }
 
 impl Difference {
@@ -35,12 +53,17 @@
             })
             .collect();
         means.sort_by(f64::total_cmp);
-        Some(Difference { mean: mean(pairs), interval: [means[DRAWS / 40], means[DRAWS - 1 - DRAWS / 40]] })
+        let count = pairs.len();
+        Some(Difference {
+            pairs: count,
+            mean: mean(pairs),
+            interval: [means[DRAWS / 40], means[DRAWS - 1 - DRAWS / 40]],
+        })
     }
 
     /// Whether the interval leaves zero out. Fewer than three pairs show nothing.
     pub fn shown(&self) -> bool {
-        self.interval[0] > 0.0 || self.interval[1] < 0.0
+        self.pairs >= FEWEST && (self.interval[0] > 0.0 || self.interval[1] < 0.0)
     }
 }
 
@@ -103,14 +126,7 @@
     );
     for row in rows {
         let [refused, late, failed, lost] = row.went;
-        let behind = match &row.behind {
-            None => String::new(),
-            Some(of) if row.runs.len() < 3 => format!("{:+.3} (too few seeds for an interval)", of.mean),
-            Some(of) if of.shown() => {
-                format!("{:+.3} [{:+.3}, {:+.3}]", of.mean, of.interval[0], of.interval[1])
-            }
-            Some(of) => format!("no difference shown [{:+.3}, {:+.3}]", of.interval[0], of.interval[1]),
-        };
+        let behind = row.behind.map(|of| of.to_string()).unwrap_or_default();
         text += &format!(
             "{:<18} {:>7.3} {refused:>8.3} {late:>6.3} {failed:>7.3} {lost:>6.3} {:>9}  {behind}\n",
             row.policy, row.share, row.breaches
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -38,14 +38,7 @@
         let table: Vec<_> = rows
             .iter()
             .map(|row| {
-                let behind = match &row.behind {
-                    None => String::new(),
-                    Some(of) if row.runs.len() < 3 => {
-                        format!("{:+.3}, too few seeds for an interval", of.mean)
-                    }
-                    Some(of) if !of.shown() => "no difference shown".to_owned(),
-                    Some(of) => format!("{:+.3} [{:+.3}, {:+.3}]", of.mean, of.interval[0], of.interval[1]),
-                };
+                let behind = row.behind.map(|of| of.to_string()).unwrap_or_default();
                 let went = row.went.map(|share| format!("{share:.3}"));
                 let share = format!("{:.3}", row.share);
                 context! { policy => row.policy, share, went, breaches => row.breaches, behind }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -347,9 +347,26 @@
                 _ => 0,
             };
             let unknown_zone = fault.zone.is_some_and(|zone| zone >= self.zones);
-            if class as usize >= self.classes.len() || unknown_zone || !fault.at.is_finite() || fault.at < 0.0
+            if class as usize >= self.classes.len() || unknown_zone {
+                return Err(format!("faults[{number}]: no such class or zone"));
+            }
+            let factor = match fault.what {
+                Trouble::Slow(by) | Trouble::Burst(by) => positive(&format!("faults[{number}].what"), by),
+                _ => Ok(()),
+            };
+            factor?;
+            for (name, value) in
+                [("at", fault.at), ("lasts", fault.lasts), ("spread_over", fault.spread_over)]
             {
-                return Err(format!("faults[{number}]: no such class, zone or time"));
+                if !value.is_finite() || value < 0.0 {
+                    return Err(format!("faults[{number}].{name}: {value} is not 0 or more"));
+                }
+            }
+            let resetting = if let Trouble::Resetting(share) = fault.what { share } else { 0.0 };
+            for share in [fault.share, resetting] {
+                if !(0.0..=1.0).contains(&share) {
+                    return Err(format!("faults[{number}]: a share of {share} is not between 0 and 1"));
+                }
             }
         }
         Ok(())
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -149,8 +149,6 @@
     network: Chance,
     retries: Chance,
     noise: Chance,
-    /// By fault, the workers that it meets.
-    met: Vec<Vec<u32>>,
     workers: Vec<(Worker, u32)>,
     schedulers: Vec<Scheduler>,
     jobs: FxHashMap<u64, Asked>,
@@ -217,7 +215,6 @@
             network: stream(seed, Stream::Network),
             retries: stream(seed, Stream::Retries),
             noise: stream(seed, Stream::Reports),
-            met: Vec::new(),
             workers,
             schedulers,
             jobs: FxHashMap::default(),
@@ -269,13 +266,12 @@
                 let count = (fault.share * chosen.len() as f64).ceil().max(1.0) as usize;
                 chosen.truncate(count);
             }
-            let each: Vec<u32> = if chosen.is_empty() { vec![u32::MAX] } else { chosen.clone() };
+            let each: Vec<u32> = if chosen.is_empty() { vec![u32::MAX] } else { chosen };
             for (place, &worker) in each.iter().enumerate() {
                 let begins = fault.at + fault.spread_over * place as f64 / each.len() as f64;
                 self.at(micros(begins), Ev::Begin(number, worker));
                 self.at(micros(begins + fault.lasts), Ev::Over(number, worker));
             }
-            self.met.push(chosen);
         }
         if let Some(arrival) = self.arrivals.next() {
             self.at(arrival.at, Ev::Arrive(arrival));
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -164,6 +164,8 @@
         (&[-0.2, -0.1, -0.15, -0.12], true),
         (&[0.1, -0.1, 0.05, -0.06], false),
         (&[0.0; 5], false),
+        // Too few pairs to say anything, however alike.
+        (&[0.1, 0.1], false),
     ];
     for (pairs, shown) in cases {
         let of = Difference::of(pairs).expect("pairs");
@@ -191,7 +193,10 @@
         ("zones = 3", "zoness = 3", "unknown field `zoness`"),
         ("cores = 4.0", "cores = -4.0", "workers of kind \"snel\": cores"),
         ("speed = [1.1, 1.5]", "speed = [1.5, 1.1]", "is no range"),
-        ("zone = 1", "zone = 7", "faults[0]: no such class, zone or time"),
+        ("zone = 1", "zone = 7", "faults[0]: no such class or zone"),
+        ("lasts = 30.0", "lasts = nan", "faults[0].lasts: NaN is not 0 or more"),
+        ("share = 1.0", "share = 1.5", "faults[0]: a share of 1.5 is not between 0 and 1"),
+        ("\"vanish\"", "{ slow = 0.0 }", "faults[0].what: 0 is not over 0"),
         ("\"vanish\"", "\"explode\"", "unknown variant `explode`"),
         ("deadline = 5.0", "deadline = nan", "class \"status\": deadline"),
     ] {
