Give up at a worker that called back before its 202, and bound every wait of the tests

A flow that is given up before the 202 only closed the connection. Where the worker had called back already, its 202 crossed the close and it went on for nobody; the test then waited for a DELETE with no bound.

Change: a scheduling that was heard of by call-back is given up by DELETE as well. The test causes both orders.

--- a/crates/copperspread/tests/scheduler.rs
+++ b/crates/copperspread/tests/scheduler.rs
@@ -55,13 +55,22 @@
 async fn a_client_that_goes_has_its_scheduling_given_up() {
     let mut server = Party::new().await;
     let scheduler = Scheduler::start(&[server.address]).await;
-    let mut client = scheduler.client().await;
-    client.job("safe", 4, 9000).await;
-    let id = server.asked().await.accept();
-    scheduler.call_back(&id, "r0", r#""state":"started""#).await;
-    drop(client);
-    assert_eq!(server.asked().await.message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
-    assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+    // The first word of it may also come before the 202, which then crosses the closed connection.
+    for early in [false, true] {
+        let mut client = scheduler.client().await;
+        client.job("safe", 4 + u64::from(early), 9000).await;
+        let mut asked = Some(server.asked().await);
+        let id = asked.as_ref().expect("it came").message.headers["x-request-id"].clone();
+        if !early {
+            asked.take().expect("it came").accept();
+        }
+        assert_eq!(scheduler.call_back(&id, "r0", r#""state":"started""#).await, 204);
+        drop(client);
+        let gave_up = server.asked().await;
+        assert_eq!(gave_up.message.first, format!("DELETE /jobs/{id} HTTP/1.1"), "early: {early}");
+        gave_up.answer("200 OK", "", "");
+        assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+    }
 }
 
 // Guards against a second run of what must run once: a broken connection proves nothing, while a
--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -5,11 +5,21 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// Longest wait for anything: what does not come fails its test and keeps nobody waiting.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Waits for what must come.
+pub async fn within<T>(what: &str, event: impl Future<Output = T>) -> T {
+    timeout(PATIENCE, event).await.unwrap_or_else(|_| panic!("{what}: nothing came in {PATIENCE:?}"))
+}
 
 /// An HTTP message: its first line, headers by lower-case name, and body.
 #[derive(Debug)]
@@ -57,7 +67,7 @@
     }
     /// Waits until the scheduler has closed the connection.
     pub async fn closed(mut self) {
-        self.reply.closed().await;
+        within("the end of a connection", self.reply.closed()).await;
     }
     /// The real server's 202; returns the job's id.
     pub fn accept(self) -> String {
@@ -102,7 +112,7 @@
         Party { address, asked }
     }
     pub async fn asked(&mut self) -> Asked {
-        self.asked.recv().await.expect("the party lives")
+        within("a request", self.asked.recv()).await.expect("the party lives")
     }
     pub fn idle(&mut self) -> bool {
         self.asked.try_recv().is_err()
@@ -120,7 +130,7 @@
         self.0.write_all(text.as_bytes()).await.expect("it reads");
     }
     pub async fn heard(&mut self) -> Option<Message> {
-        read(&mut self.0).await
+        within("an answer", read(&mut self.0)).await
     }
     pub async fn ask(&mut self, text: &str) -> Message {
         self.send(text).await;
@@ -199,37 +209,59 @@
         text: impl Fn(SocketAddr) -> String,
         variables: &[(&str, &str)],
     ) -> Scheduler {
-        let address = free_address().await;
-        let path = std::env::temp_dir().join(format!("copperspread-{}.toml", address.port()));
-        std::fs::write(&path, text(address)).expect("a configuration");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_copperspread"));
-        command.args(["serve", "--config"]).arg(&path).args(flags).envs(variables.iter().copied());
-        command.env_remove("EDGE_CONFIG");
-        Scheduler::run(command, address, Party::new().await, path).await
+        loop {
+            let address = free_address().await;
+            let path = std::env::temp_dir().join(format!("copperspread-{}.toml", address.port()));
+            std::fs::write(&path, text(address)).expect("a configuration");
+            let mut command = Command::new(env!("CARGO_BIN_EXE_copperspread"));
+            command.args(["serve", "--config"]).arg(&path).args(flags).envs(variables.iter().copied());
+            command.env_remove("EDGE_CONFIG");
+            if let Some(it) = Scheduler::run(command, address, Party::new().await, path).await {
+                return it;
+            }
+        }
     }
     /// The same by a shell's command, with so many descriptors in its configuration.
     pub async fn start_by(command: &str, sockets: u32, known: &[SocketAddr]) -> Scheduler {
-        let discovery = Party::new().await;
-        let address = free_address().await;
-        let members: Vec<_> = known.iter().enumerate().collect();
-        let members: Vec<_> =
-            members.iter().map(|(i, at)| member(&format!("r{i}"), **at, "SERVING")).collect();
-        let content = config(address, discovery.address, &list(5, true, &members));
-        let content = content.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
-        let path = std::env::temp_dir().join(format!("copperspread-{}.json", address.port()));
-        std::fs::write(&path, content).expect("a configuration");
-        let mut start = Command::new("sh");
-        start
-            .args(["-c", command])
-            .env("PROGRAM", env!("CARGO_BIN_EXE_copperspread"))
-            .env("EDGE_CONFIG", &path);
-        Scheduler::run(start, address, discovery, path).await
+        loop {
+            let discovery = Party::new().await;
+            let address = free_address().await;
+            let members: Vec<_> = known.iter().enumerate().collect();
+            let members: Vec<_> =
+                members.iter().map(|(i, at)| member(&format!("r{i}"), **at, "SERVING")).collect();
+            let content = config(address, discovery.address, &list(5, true, &members));
+            let content = content.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+            let path = std::env::temp_dir().join(format!("copperspread-{}.json", address.port()));
+            std::fs::write(&path, content).expect("a configuration");
+            let mut start = Command::new("sh");
+            start
+                .args(["-c", command])
+                .env("PROGRAM", env!("CARGO_BIN_EXE_copperspread"))
+                .env("EDGE_CONFIG", &path);
+            if let Some(it) = Scheduler::run(start, address, discovery, path).await {
+                return it;
+            }
+        }
     }
-    async fn run(mut command: Command, address: SocketAddr, discovery: Party, path: PathBuf) -> Scheduler {
+    /// `None` where another process took the address meanwhile: between its choice and the start it
+    /// is nobody's.
+    async fn run(
+        mut command: Command,
+        address: SocketAddr,
+        discovery: Party,
+        path: PathBuf,
+    ) -> Option<Scheduler> {
         let mut child = command.stderr(Stdio::piped()).kill_on_drop(true).spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
-        while !log.next_line().await.expect("a log").expect("it serves").contains("serves on") {}
-        Scheduler { address, discovery, child, path, log }
+        loop {
+            let line = within("a start", log.next_line()).await.expect("a log").expect("it serves");
+            if line.contains("serves on") {
+                return Some(Scheduler { address, discovery, child, path, log });
+            }
+            if line.contains("Address already in use") {
+                return None;
+            }
+        }
     }
     pub async fn client(&self) -> Client {
         Client::to(self.address).await
@@ -274,7 +306,7 @@
     }
     /// The same, or nothing once the log has ended.
     pub async fn next_line(&mut self) -> Option<String> {
-        self.log.next_line().await.expect("a log")
+        within("a line of the log", self.log.next_line()).await.expect("a log")
     }
     pub async fn signal(&self, name: &str) {
         self.signals(&[name]).await;
--- a/crates/node/src/flow.rs
+++ b/crates/node/src/flow.rs
@@ -61,6 +61,8 @@
     out: bool,
     /// Stops the hand-over while the real server has not taken it.
     handing: Option<AbortHandle>,
+    /// A call-back has come: the real server has it, whether or not its 202 has come.
+    heard: bool,
 }
 
 struct Flow {
@@ -105,7 +107,7 @@
                         };
                         let (hand_over, handing) = abortable(hand_over.instrument(span));
                         let sent_at = self.node.clock.now();
-                        self.schedulings.push(Scheduling { worker, sent_at, out: true, handing: Some(handing) });
+                        self.schedulings.push(Scheduling { worker, sent_at, out: true, handing: Some(handing), heard: false });
                         if late || repeated || self.answer.is_none() {
                             self.end(number, Outcome::Moot, None, None);
                         } else {
@@ -173,6 +175,7 @@
     /// ended; one that comes before the 202 counts like any other.
     fn hear(&mut self, worker: WorkerId, news: News) {
         let Some(number) = self.schedulings.iter().position(|s| s.worker == worker && s.out) else { return };
+        self.schedulings[number].heard = true;
         let number = number as u32;
         match news {
             News::Progress(progress) => {
@@ -202,9 +205,15 @@
     /// Stops waiting for a scheduling, and says so to the real server.
     fn give_up(&mut self, number: u32, outcome: Outcome) {
         let Some(scheduling) = self.schedulings.get_mut(number as usize).filter(|s| s.out) else { return };
-        match scheduling.handing.take() {
-            Some(handing) => handing.abort(),
-            None => self.node.back.give_up(scheduling.worker, &self.demand.order),
+        let handing = scheduling.handing.take();
+        let taken = handing.is_none() || scheduling.heard;
+        // Before the 202 the closed connection says it. Guards against a real server that has called
+        // back already and whose 202 crosses the close: it would go on for nobody.
+        if let Some(handing) = handing {
+            handing.abort();
+        }
+        if taken {
+            self.node.back.give_up(scheduling.worker, &self.demand.order);
         }
         self.end(number, outcome, None, None);
     }
