Play scenarios in real time: scheduler processes with all round them on loopback

Need: nothing showed that what the laboratory finds in virtual time holds for the program on sockets.

Change: copperspread-lab emulate starts the scheduler's own binary, or the same node under a baseline, and plays workers, discovery and clients by the platform's protocol, from the same fleet, faults, arrivals, keys and referee as sim. Refused, silent and reset connections, half a 202, garbage, late and doubled call-backs are played on the socket.

--- /dev/null
+++ b/crates/lab/src/emulate/listing.rs
@@ -0,0 +1,142 @@
+//! The worker list as each scheduler's agent has it, and the agent's answers.
+use std::rc::Rc;
+
+use copperspread_decisions::{Micros, RosterKind, WorkerEntry, WorkerState};
+use http_body_util::Full;
+use hyper::{Request, Response};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::{Duration, sleep_until, timeout_at};
+
+use crate::emulate::program::zone;
+use crate::emulate::stage::{Answer, Stage, serve_connection};
+use crate::scenario::micros;
+
+/// Longest hold of a watch, as on the platform.
+const LONGEST_HOLD: Micros = 60_000_000;
+/// How long a list that contradicts itself stays before the other one comes, as in virtual time.
+pub const TURNS: Duration = Duration::from_secs(3);
+
+/// The list: what all agents have been sent.
+pub struct Listing {
+    /// Grows with each change.
+    pub revision: u64,
+    /// Each worker with the revision of its last change.
+    pub entries: Vec<(u64, WorkerEntry)>,
+    /// Whoever has an older one gets the whole list.
+    pub whole_from: u64,
+    /// The agents stay silent.
+    pub down: u32,
+    /// Workers whose change waits for discovery to be back.
+    pub untold: Vec<u32>,
+    /// The list as it was when it began to contradict itself.
+    pub contradicted: Option<Vec<WorkerEntry>>,
+}
+
+impl Listing {
+    /// A first list.
+    pub fn new(entries: Vec<WorkerEntry>) -> Listing {
+        let entries = entries.into_iter().map(|entry| (1, entry)).collect();
+        Listing { revision: 1, entries, whole_from: 0, down: 0, untold: Vec::new(), contradicted: None }
+    }
+
+    /// Entries change.
+    pub fn change(&mut self, entries: Vec<WorkerEntry>) {
+        self.revision += 1;
+        for entry in entries {
+            self.entries[entry.worker.0 as usize] = (self.revision, entry);
+        }
+    }
+
+    /// The whole list is another one, and everyone gets it as such.
+    pub fn replace(&mut self, entries: Vec<WorkerEntry>) {
+        self.change(entries);
+        self.whole_from = self.revision;
+    }
+
+    /// What an agent answers whoever has this revision, if it has something newer.
+    fn since(&self, from: Option<u64>) -> Option<(RosterKind, Vec<WorkerEntry>)> {
+        match from {
+            Some(from) if from >= self.whole_from && from <= self.revision => {
+                let newer = self.entries.iter().filter(|(revision, _)| *revision > from);
+                let newer: Vec<_> = newer.map(|(_, entry)| *entry).collect();
+                (!newer.is_empty()).then_some((RosterKind::Changes, newer))
+            }
+            _ => Some((RosterKind::Full, self.entries.iter().map(|(_, entry)| *entry).collect())),
+        }
+    }
+}
+
+/// A list in discovery's form. Who is gone is named among changes only.
+pub fn form(stage: &Stage, kind: RosterKind, revision: u64, entries: &[WorkerEntry]) -> Value {
+    let complete = kind != RosterKind::Changes;
+    let named = entries.iter().filter(|entry| !complete || entry.state != WorkerState::Gone);
+    let members: Vec<Value> = named
+        .map(|entry| {
+            let worker = entry.worker.0;
+            let phase = match entry.state {
+                WorkerState::Ready => "SERVING",
+                WorkerState::Draining => "DRAINING",
+                WorkerState::Gone => "DELETED",
+            };
+            json!({
+                "id": format!("w-{worker}"), "host_port": stage.address(worker).to_string(),
+                "locality": zone(entry.zone), "flavor": stage.kind(worker), "cell": entry.cell, "phase": phase,
+                "size": 1.0, "up_since_ms": entry.started_at.map_or(0, |at| stage.unix_ms(at)),
+            })
+        })
+        .collect();
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+/// One scheduler's agent, on a listener of its own.
+pub async fn agent(stage: Rc<Stage>, scheduler: u32, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let stage = Rc::clone(&stage);
+        tokio::task::spawn_local(async move {
+            serve_connection(stream, |request| {
+                let stage = Rc::clone(&stage);
+                async move { answer(&stage, scheduler, &request).await }
+            })
+            .await;
+        });
+    }
+}
+
+/// A figure of the query.
+fn figure(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(known, _)| *known == name).find_map(|(_, value)| value.parse().ok())
+}
+
+async fn answer<B>(stage: &Rc<Stage>, scheduler: u32, request: &Request<B>) -> Answer {
+    let mut changed = stage.list_changes();
+    let query = request.uri().query().unwrap_or_default();
+    let from = figure(query, "from");
+    let hold = figure(query, "hold_ms").unwrap_or_default().saturating_mul(1_000).min(LONGEST_HOLD);
+    let asked = stage.now();
+    // Nothing comes before the first list, and nothing while discovery is down.
+    let first = micros(stage.scenario.discovery.first_after);
+    sleep_until(stage.instant(first)).await;
+    let by = stage.instant(asked + hold);
+    let (kind, revision, entries) = loop {
+        changed.borrow_and_update();
+        let (down, revision, news) = {
+            let listing = stage.listing.borrow();
+            (listing.down > 0, listing.revision, listing.since(from))
+        };
+        if down {
+            let _ = changed.changed().await;
+            continue;
+        }
+        if let Some((kind, entries)) = news {
+            break (kind, revision, entries);
+        }
+        if timeout_at(by, changed.changed()).await.is_err() {
+            break (RosterKind::Changes, revision, Vec::new());
+        }
+    };
+    let body = form(stage, kind, revision, &entries).to_string();
+    stage.told(scheduler, &entries);
+    Response::new(Full::from(body))
+}
--- /dev/null
+++ b/crates/lab/src/emulate/socket.rs
@@ -0,0 +1,96 @@
+//! A connection that breaks on purpose in the middle of what it says.
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What becomes of the next answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// It is written.
+    Whole,
+    /// Nothing of it is written, and the connection is reset.
+    Reset,
+    /// So many bytes are written, then the connection is reset.
+    Half(usize),
+    /// Something that is no HTTP takes its place, then the connection ends.
+    Garbage,
+}
+
+/// Sent in place of an answer.
+const GARBAGE: &[u8] = b"\x16\x03\x01 202 ACCEPTED maybe\r\n\r\n";
+
+/// A worker's side of a connection.
+pub struct Socket {
+    stream: TcpStream,
+    plan: Rc<Cell<Plan>>,
+}
+
+impl Socket {
+    /// Over a connection; what `plan` holds when an answer is written becomes of that answer.
+    pub fn new(stream: TcpStream, plan: Rc<Cell<Plan>>) -> Socket {
+        Socket { stream, plan }
+    }
+}
+
+/// Ends a connection by a reset.
+pub fn reset(stream: &TcpStream) {
+    // Where that fails, it ends in the usual way.
+    let _ = stream.set_zero_linger();
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.plan.get() == Plan::Reset {
+            reset(&self.stream);
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        to: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, to)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
+        let broken = || Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        match self.plan.get() {
+            Plan::Whole => Pin::new(&mut self.stream).poll_write(cx, from),
+            Plan::Reset => broken(),
+            Plan::Half(bytes) => {
+                let part = &from[..bytes.min(from.len())];
+                let polled = Pin::new(&mut self.stream).poll_write(cx, part);
+                if polled.is_ready() {
+                    self.plan.set(Plan::Reset);
+                }
+                polled
+            }
+            Plan::Garbage => {
+                let polled = Pin::new(&mut self.stream).poll_write(cx, GARBAGE);
+                // Its reader is to see it, so that the end is not a reset.
+                if polled.is_ready() { broken() } else { Poll::Pending }
+            }
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.plan.get() == Plan::Reset {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/emulate/world.rs
@@ -0,0 +1,385 @@
+//! What the emulator knows: the model's workers in real time, who asked for what, and the referee. No
+//! socket and no await: the tasks round it tell it what came and carry out what it says.
+use copperspread_decisions::{Effect, Micros, Report, RequestId, SECOND};
+use rand::RngExt;
+use rand_distr::{Distribution, Normal};
+use rustc_hash::FxHashMap;
+use tokio::time::Instant;
+
+use crate::model::arrivals::Arrival;
+use crate::model::chance::{Chance, Stream, stream};
+use crate::model::fleet::{Fleet, Turn, cold_budget};
+use crate::model::keys::{Keys, Repeat};
+use crate::model::wire::{Cut, Wire};
+use crate::model::worker::{self, Offer, Offered, Worker};
+use crate::outcome::Tally;
+use crate::referee::Referee;
+use crate::scenario::{Scenario, Trouble, micros};
+
+/// News of an attempt, to be called back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// The request.
+    pub request: u64,
+    /// The worker that calls.
+    pub worker: u32,
+    /// The scheduler that it calls.
+    pub scheduler: u32,
+    /// What it says.
+    pub word: Word,
+    /// It is said so much later, for the way and for what delays it.
+    pub after: Micros,
+    /// It is said twice.
+    pub twice: bool,
+}
+
+/// What a call-back says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Word {
+    /// The job began to run.
+    Started,
+    /// It is done.
+    Done(Report),
+    /// It was lost with the process.
+    Lost,
+    /// It is handed back unstarted.
+    Returned(Report),
+    /// A repeat's first attempt came to nothing.
+    Failed,
+}
+
+/// A worker's answer to a hand-over.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Taken {
+    /// 202.
+    Yes,
+    /// 202, of which the half is said.
+    Half,
+    /// 503 with the word that it never runs here.
+    Full(Report),
+    /// No such request: 400.
+    Unknown,
+    /// The connection is reset.
+    Reset,
+    /// Garbage.
+    Garbage,
+}
+
+struct Asked {
+    job: u64,
+    scheduler: u32,
+}
+
+struct Attempt {
+    request: u64,
+    job: u64,
+    worker: u32,
+    scheduler: u32,
+}
+
+/// A client's job.
+struct Job {
+    of: Arrival,
+    keys: Keys,
+}
+
+/// The world round the schedulers.
+pub struct World {
+    /// What is played.
+    pub scenario: Scenario,
+    /// Workers with their zones.
+    pub workers: Vec<(Worker, u32)>,
+    /// What goes wrong on their connections.
+    pub wires: Vec<Wire>,
+    /// The referee.
+    pub referee: Referee,
+    /// What became of jobs.
+    pub tally: Tally,
+    /// Attempts that reached a worker, and those of them that crossed zones.
+    pub attempts_sent: u64,
+    /// Attempts that crossed zones.
+    pub crossed: u64,
+    /// Workers that fell over.
+    pub fell: u64,
+    /// News that is to be called back.
+    pub news: Vec<News>,
+    /// Workers whose process or machine changed, for their sockets.
+    pub changed: Vec<u32>,
+    began: Instant,
+    requests: FxHashMap<u64, Asked>,
+    jobs: FxHashMap<u64, Job>,
+    attempts: FxHashMap<u64, Attempt>,
+    next: u64,
+    reports_late: Micros,
+    network: Chance,
+    noise: Chance,
+    held: (u64, f64, Micros),
+}
+
+impl World {
+    /// The world of a scenario and a seed; time counts from now on.
+    pub fn new(scenario: &Scenario, fleet: Fleet, seed: u64) -> World {
+        World {
+            wires: vec![Wire::default(); fleet.workers.len()],
+            workers: fleet.workers,
+            referee: Referee::new(cold_budget(scenario)),
+            tally: Tally::new(scenario.classes.len()),
+            attempts_sent: 0,
+            crossed: 0,
+            fell: 0,
+            news: Vec::new(),
+            changed: Vec::new(),
+            began: Instant::now(),
+            requests: FxHashMap::default(),
+            jobs: FxHashMap::default(),
+            attempts: FxHashMap::default(),
+            // Ids that look like no small number, as the platform's do.
+            next: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 << 63,
+            reports_late: 0,
+            network: stream(seed, Stream::Network),
+            noise: stream(seed, Stream::Reports),
+            held: (0, 0.0, 0),
+            scenario: scenario.clone(),
+        }
+    }
+
+    /// The clients begin to come now.
+    pub fn begin(&mut self) {
+        self.began = Instant::now();
+    }
+
+    /// Microseconds since the clients began.
+    pub fn now(&self) -> Micros {
+        self.began.elapsed().as_micros() as Micros
+    }
+
+    /// An instant of the run.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.began + std::time::Duration::from_micros(at)
+    }
+
+    /// The way between two zones, apart from what the machine's own way takes. Ways within a zone are
+    /// shorter than a timer's step: the machine's own way stands for them.
+    pub fn way(&self, from: u32, to: u32) -> Micros {
+        let network = &self.scenario.network;
+        let way = micros(if from == to { network.near } else { network.far });
+        if way < 1_000 { 0 } else { way }
+    }
+
+    fn zone_of(&self, scheduler: u32) -> u32 {
+        scheduler % self.scenario.zones
+    }
+
+    /// A client's job, by its number.
+    pub fn job(&mut self, number: u64, of: Arrival) {
+        self.jobs.insert(number, Job { of, keys: Keys::default() });
+    }
+
+    /// A client asks a scheduler; returns the request's id.
+    pub fn ask(&mut self, job: u64, scheduler: u32, gives_up: Micros) -> u64 {
+        self.next = self.next.wrapping_add(1);
+        self.requests.insert(self.next, Asked { job, scheduler });
+        self.referee.asked(RequestId(self.next), gives_up);
+        self.next
+    }
+
+    fn hold(&mut self) {
+        let now = self.now();
+        self.held.1 += self.held.0 as f64 * now.saturating_sub(self.held.2) as f64;
+        self.held.2 = now;
+    }
+
+    /// Mean of the jobs in the workers, over the scenario's time.
+    pub fn mean_held(&self) -> f64 {
+        self.held.1 / (self.scenario.seconds * SECOND as f64)
+    }
+
+    /// A hand-over reaches a worker: the head has come. Returns how long it is still on its way.
+    pub fn comes(&mut self, request: u64, worker: u32) -> Micros {
+        let now = self.now();
+        let Some(asked) = self.requests.get(&request) else { return 0 };
+        let Some(job) = self.jobs.get(&asked.job) else { return 0 };
+        let (from, to) = (self.zone_of(asked.scheduler), self.workers[worker as usize].1);
+        self.referee.sent(now, asked.scheduler, worker, job.of.work * job.of.slots);
+        self.attempts_sent += 1;
+        self.crossed += u64::from(from != to);
+        self.way(from, to)
+    }
+
+    /// The same hand-over is there as a whole, `came` having been its head's instant.
+    pub fn take(&mut self, request: u64, worker: u32, came: Micros) -> Taken {
+        self.hold();
+        let now = self.now();
+        let Some(&Asked { job, scheduler }) = self.requests.get(&request) else { return Taken::Unknown };
+        let Some(of) = self.jobs.get_mut(&job) else { return Taken::Unknown };
+        let arrival = of.of;
+        let zone = self.workers[worker as usize].1;
+        let effect = self.scenario.classes[arrival.class as usize].effect();
+        self.next = self.next.wrapping_add(1);
+        let id = self.next;
+        let attempt = Attempt { request, job, worker, scheduler };
+        if let Effect::Keyed { window, .. } = effect
+            && self.workers[worker as usize].0.takes()
+            && let Some(repeat) = of.keys.repeat(id, zone, now, window)
+        {
+            self.attempts.insert(id, attempt);
+            self.referee.took(now, job, id, effect, zone, came);
+            if repeat == Repeat::Done {
+                self.tell(id, Kind::Done);
+            }
+            return Taken::Yes;
+        }
+        let cut = self.wires[worker as usize].meets(self.network.random());
+        match cut {
+            Cut::Before => return Taken::Reset,
+            Cut::Garbage => return Taken::Garbage,
+            Cut::Whole | Cut::After => {}
+        }
+        let offered = Offered { attempt: id, class: arrival.class, work: arrival.work, slots: arrival.slots };
+        let mut effects = Vec::new();
+        match self.workers[worker as usize].0.offer(now, offered, &mut effects) {
+            Offer::Taken => {
+                self.held.0 += 1;
+                self.attempts.insert(id, attempt);
+                self.referee.took(now, job, id, effect, zone, came);
+                if matches!(effect, Effect::Keyed { .. })
+                    && let Some(of) = self.jobs.get_mut(&job)
+                {
+                    of.keys.took(id, zone, now);
+                }
+                self.effects(worker, effects);
+                if cut == Cut::After { Taken::Half } else { Taken::Yes }
+            }
+            Offer::Full => Taken::Full(self.report(worker)),
+            // Its sockets are on their way out.
+            Offer::Dead | Offer::Vanished => Taken::Reset,
+        }
+    }
+
+    fn report(&mut self, worker: u32) -> Report {
+        let refresh = micros(self.scenario.reports.refresh) + self.reports_late;
+        let (noise, sigma, now) = (&mut self.noise, self.scenario.reports.noise, self.began.elapsed());
+        let draw = || Normal::new(0.0, sigma).map_or(0.0, |normal| normal.sample(noise));
+        self.workers[worker as usize].0.report(now.as_micros() as Micros, refresh, draw)
+    }
+
+    /// A worker is looked at: what is done by now ends. Returns when it must be looked at again.
+    pub fn look(&mut self, worker: u32) -> Option<Instant> {
+        self.hold();
+        let now = self.now();
+        let mut effects = Vec::new();
+        let of = &mut self.workers[worker as usize].0;
+        if of.takes() || of.holds() > 0 {
+            of.advance(now, &mut effects);
+        }
+        self.effects(worker, effects);
+        self.workers[worker as usize].0.next(self.now()).map(|at| self.instant(at))
+    }
+
+    /// A fault begins or is over.
+    pub fn turn(&mut self, turn: Turn) {
+        self.hold();
+        let now = self.now();
+        let what = self.scenario.faults[turn.fault].what;
+        if let Trouble::ReportsLate(by) = what {
+            self.reports_late = if turn.begins { micros(by) } else { 0 };
+        }
+        let Some(worker) = turn.whom.filter(|_| what.meets_workers()) else { return };
+        if self.wires[worker as usize].turn(what, turn.begins) {
+            return;
+        }
+        let mut effects = Vec::new();
+        let held = self.workers[worker as usize].0.holds() as u64;
+        let started = self.workers[worker as usize].0.turn(now, what, turn.begins, &mut effects);
+        if what == Trouble::Vanish && turn.begins {
+            self.held.0 -= held;
+        }
+        if started {
+            let build = self.workers[worker as usize].0.build;
+            self.referee.started(now, worker, build.cores.min(build.slots) * build.speed);
+        }
+        self.effects(worker, effects);
+        self.changed.push(worker);
+    }
+
+    fn effects(&mut self, worker: u32, effects: Vec<worker::Effect>) {
+        let now = self.now();
+        for effect in effects {
+            match effect {
+                worker::Effect::Started(id) => {
+                    let Some(of) = self.attempts.get(&id) else { continue };
+                    let job = of.job;
+                    let Some(class) = self.jobs.get(&job).map(|job| job.of.class) else { continue };
+                    self.referee.ran(now, job, self.scenario.classes[class as usize].effect());
+                    if self.workers[worker as usize].0.silent != Some(class) {
+                        self.tell(id, Kind::Started);
+                    }
+                }
+                worker::Effect::Done { attempt, told } => {
+                    self.held.0 -= 1;
+                    if told {
+                        self.tell(attempt, Kind::Done);
+                    }
+                    self.over(attempt, Kind::Done);
+                }
+                worker::Effect::Lost(id) => {
+                    self.held.0 -= 1;
+                    self.tell(id, Kind::Lost);
+                    self.over(id, Kind::Lost);
+                }
+                worker::Effect::HandedBack(id) => {
+                    self.held.0 -= 1;
+                    if let Some(job) = self.attempts.get(&id).map(|of| of.job) {
+                        self.referee.handed_back(job, id);
+                        if let Some(of) = self.jobs.get_mut(&job) {
+                            of.keys.handed_back(id);
+                        }
+                    }
+                    self.tell(id, Kind::Returned);
+                    self.over(id, Kind::Failed);
+                }
+                worker::Effect::Fell => {
+                    self.fell += 1;
+                    self.changed.push(worker);
+                }
+            }
+        }
+    }
+
+    /// An attempt is over at its worker: repeats that were dropped for it hear so.
+    fn over(&mut self, id: u64, kind: Kind) {
+        let Some(of) = self.attempts.remove(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&of.job) else { return };
+        for repeat in job.keys.ended(kind == Kind::Done) {
+            self.tell(repeat, kind);
+            self.attempts.remove(&repeat);
+        }
+    }
+
+    fn tell(&mut self, id: u64, kind: Kind) {
+        let Some(&Attempt { request, worker, scheduler, .. }) = self.attempts.get(&id) else { return };
+        let word = match kind {
+            Kind::Started => Word::Started,
+            Kind::Done => Word::Done(self.report(worker)),
+            Kind::Returned => Word::Returned(self.report(worker)),
+            Kind::Lost => Word::Lost,
+            Kind::Failed => Word::Failed,
+        };
+        if kind == Kind::Done {
+            self.referee.made(RequestId(request));
+        }
+        let wire = self.wires[worker as usize];
+        let way = self.way(self.workers[worker as usize].1, self.zone_of(scheduler));
+        let (after, twice) = (way + wire.late, wire.doubled);
+        self.news.push(News { request, worker, scheduler, word, after, twice });
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Started,
+    Done,
+    Lost,
+    Returned,
+    Failed,
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 //! The model does no I/O and reads no clock. All chance comes from one seed, with a stream for each
 //! component, so that two variants of one experiment meet the same arrivals.
 pub mod compare;
+pub mod emulate;
 pub mod load;
 pub mod model;
 pub mod outcome;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,10 @@
 
 use clap::{Parser, Subcommand};
 use copperspread_lab::compare::{compare, table};
+use copperspread_lab::emulate::program::Program;
+use copperspread_lab::emulate::{Schedulers, emulate};
 use copperspread_lab::load::load;
+use copperspread_lab::outcome::Outcome;
 use copperspread_lab::policy::Kind;
 use copperspread_lab::report::html;
 use copperspread_lab::scenario::Scenario;
@@ -49,6 +52,33 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play a scenario once in real time: the program's own processes, all else on loopback
+    Emulate {
+        /// A scenario's name, or a file
+        scenario: String,
+        /// What decides in the schedulers' node, where no program is named
+        #[arg(long, default_value = "copperspread", value_parser = kind)]
+        policy: Kind,
+        /// The program to start for each scheduler, in place of the one beside this one
+        #[arg(long)]
+        program: Option<std::path::PathBuf>,
+        /// Its arguments
+        #[arg(long = "argument", default_value = "serve", requires = "program")]
+        arguments: Vec<String>,
+        /// The seed of all chance
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Print the whole outcome as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Serve as one of the emulator's schedulers, by EDGE_CONFIG
+    #[command(hide = true)]
+    Node {
+        /// What decides
+        #[arg(long, value_parser = kind)]
+        policy: Kind,
+    },
     /// Send a scenario's jobs over HTTP, in an open loop: a slow answer holds no later job back
     Load {
         /// A scenario's name, or a file: its classes, rate and bursts
@@ -149,6 +179,50 @@
     serde_json::to_string(value).map(|text| text + "\n").map_err(|e| e.to_string())
 }
 
+/// An outcome in words.
+fn told(outcome: &Outcome) -> String {
+    let share = |worth: f64| worth / outcome.worth.asked;
+    let mut text = format!(
+        "{} under {}, seed {}: {:.3} of the worth served in time; late {:.3}, refused {:.3}, failed {:.3}, lost \
+         {:.3}\n{:.2} attempts a job, {:.3} of them to another zone; {} workers fell over\n",
+        outcome.scenario,
+        outcome.policy,
+        outcome.seed,
+        outcome.worth.share(),
+        share(outcome.worth.late),
+        share(outcome.worth.refused),
+        share(outcome.worth.failed),
+        share(outcome.worth.lost),
+        outcome.attempts,
+        outcome.crossing,
+        outcome.fell,
+    );
+    for class in &outcome.classes {
+        let [half, most, _] = class.served_ms;
+        text += &format!(
+            "  {:<12} {:>8} jobs, {:.3} in time; served in {half:.0} ms (median), {most:.0} ms (99%)\n",
+            class.name,
+            class.jobs,
+            class.worth.share()
+        );
+    }
+    for (rule, count) in &outcome.breaches {
+        text += &format!("BROKEN {rule:?}: {count}\n");
+    }
+    for breach in &outcome.examples {
+        text += &format!("  at {:.3} s: {:?}, {}\n", breach.at as f64 / 1e6, breach.rule, breach.what);
+    }
+    if let Some(of) = &outcome.measured {
+        let [most, worst] = of.own_lag_ms;
+        text += &format!(
+            "schedulers used {:.3} cores, {:.0} us a job; this tool sent late by {most:.1} ms (99%), {worst:.1} ms \
+             (most)\n",
+            of.cores, of.cpu_us_a_job
+        );
+    }
+    text
+}
+
 fn run(command: Command) -> Result<bool, String> {
     match command {
         Command::Scenarios => {
@@ -174,45 +248,30 @@
                 print(&json(&outcome)?)?;
                 return Ok(kept);
             }
-            let share = |worth: f64| worth / outcome.worth.asked;
-            let mut text = format!(
-                "{} under {}, seed {seed}: {:.3} of the worth served in time; late {:.3}, refused {:.3}, failed \
-                 {:.3}, lost {:.3}\n{:.2} attempts a job, {:.3} of them to another zone; {} workers fell over\n",
-                outcome.scenario,
-                outcome.policy,
-                outcome.worth.share(),
-                share(outcome.worth.late),
-                share(outcome.worth.refused),
-                share(outcome.worth.failed),
-                share(outcome.worth.lost),
-                outcome.attempts,
-                outcome.crossing,
-                outcome.fell,
-            );
-            for class in &outcome.classes {
-                let [half, most, _] = class.served_ms;
-                text += &format!(
-                    "  {:<12} {:>8} jobs, {:.3} in time; served in {half:.0} ms (median), {most:.0} ms (99%)\n",
-                    class.name,
-                    class.jobs,
-                    class.worth.share()
-                );
-            }
-            for (rule, count) in &outcome.breaches {
-                text += &format!("BROKEN {rule:?}: {count}\n");
-            }
-            for breach in &outcome.examples {
-                text +=
-                    &format!("  at {:.3} s: {:?}, {}\n", breach.at as f64 / 1e6, breach.rule, breach.what);
-            }
             let rate = outcome.events as f64 / took;
-            text += &format!(
+            print(&told(&outcome))?;
+            print(&format!(
                 "{} jobs, {} events in {took:.1} s: {rate:.0} events a second\n",
                 outcome.jobs, outcome.events
-            );
-            print(&text)?;
+            ))?;
             Ok(kept)
         }
+        Command::Emulate { scenario: name, policy, program, arguments, seed, json: whole } => {
+            let scenario = scenario(&name)?;
+            let called = program.as_ref().map_or_else(|| policy.name(), |file| file.display().to_string());
+            let program = match program {
+                Some(file) => Program { file, arguments },
+                None => Program::of(policy)?,
+            };
+            let outcome = emulate(&scenario, &Schedulers::Started(program), &called, seed)?;
+            let kept = outcome.breaches.is_empty();
+            print(&if whole { json(&outcome)? } else { told(&outcome) })?;
+            Ok(kept)
+        }
+        Command::Node { policy } => {
+            copperspread_lab::emulate::baseline::serve(policy)?;
+            Ok(true)
+        }
         Command::Load { scenario: name, target, rate, seconds, most_open, seed, anywhere, json: whole } => {
             if !target.ip().is_loopback() && !anywhere {
                 return Err(format!(
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -3,7 +3,7 @@
 
 use copperspread_decisions::{Micros, SECOND};
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::referee::{Breach, Rule};
 
@@ -23,7 +23,7 @@
 }
 
 /// Worth asked for and what became of it. The parts add up to what was asked for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Worth {
     /// Asked for.
     pub asked: f64,
@@ -58,7 +58,7 @@
 }
 
 /// One class's part of a run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct OfClass {
     /// Its name.
     pub name: String,
@@ -73,7 +73,7 @@
 }
 
 /// What a run came to. Two runs of one seed are equal to the byte in JSON.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Outcome {
     /// The scenario.
     pub scenario: String,
@@ -105,6 +105,20 @@
     pub breaches: BTreeMap<Rule, u64>,
     /// The first of them.
     pub examples: Vec<Breach>,
+    /// In real time: what the machine showed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub measured: Option<Measured>,
+}
+
+/// What the machine showed in a run in real time.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Measured {
+    /// How late the emulator was itself in sending, in milliseconds, at 99% and at most.
+    pub own_lag_ms: [f64; 2],
+    /// Processor time of the schedulers for each job, in microseconds.
+    pub cpu_us_a_job: f64,
+    /// Cores that the schedulers used, all together.
+    pub cores: f64,
 }
 
 /// Counts while a run goes on.
--- a/crates/lab/src/referee.rs
+++ b/crates/lab/src/referee.rs
@@ -3,7 +3,7 @@
 
 use copperspread_decisions::{Effect, Micros, RequestId, SECOND};
 use rustc_hash::FxHashMap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Time limits grow by this much, as on sockets.
 pub const GRACE: Micros = 50_000;
@@ -11,7 +11,7 @@
 pub const DRAIN: Micros = SECOND;
 
 /// A rule that does not hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rule {
     /// A client got more than one final answer.
@@ -31,7 +31,7 @@
 }
 
 /// One breach.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Breach {
     /// Of which rule.
     pub rule: Rule,
@@ -66,6 +66,8 @@
 pub enum Heard {
     /// A result that a worker may have made.
     Served,
+    /// What is no result of this request.
+    Forged,
     /// A refusal or a failure.
     Said,
     /// The connection broke: no answer, and the end of the wait.
@@ -139,7 +141,8 @@
     pub fn answered(&mut self, now: Micros, request: RequestId, heard: Heard) {
         let Some(client) = self.clients.get_mut(&request) else { return };
         client.answers += 1;
-        let (again, forged) = (client.answers > 1, heard == Heard::Served && !client.made);
+        let (again, forged) =
+            (client.answers > 1, heard == Heard::Forged || heard == Heard::Served && !client.made);
         if again {
             self.breach(Rule::OneAnswer, now, || format!("request {:x}", request.0));
         }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -37,11 +37,34 @@
     /// Cold workers.
     #[serde(default)]
     pub cold: Cold,
+    /// What schedulers are told that they may do.
+    #[serde(default)]
+    pub settings: Tuning,
     /// What goes wrong, and when.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
+/// What schedulers are told that they may do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tuning {
+    /// Most attempts of a request.
+    pub max_attempts: u32,
+    /// Whether a second copy may be sent while the first is out.
+    pub second_copies: bool,
+    /// Whether attempts may be given up.
+    pub may_cancel: bool,
+    /// What an attempt in another zone costs, in the worth of a unit of work.
+    pub price_cross_zone: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Tuning {
+        Tuning { max_attempts: 4, second_copies: true, may_cancel: true, price_cross_zone: 0.03 }
+    }
+}
+
 fn one() -> u32 {
     1
 }
@@ -425,11 +448,11 @@
             cold_for: micros(self.cold.warm_after),
             fall_multiple: self.cold.fall_multiple,
             fall_window: micros(self.cold.fall_seconds.max(0.001)),
-            max_attempts: 4,
-            second_copies: true,
-            may_cancel: true,
+            max_attempts: self.settings.max_attempts,
+            second_copies: self.settings.second_copies,
+            may_cancel: self.settings.may_cancel,
             tells_start: true,
-            price_cross_zone: 0.03,
+            price_cross_zone: self.settings.price_cross_zone,
             ..Settings::default()
         }
     }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -909,6 +909,7 @@
             held: self.held.1 / (self.scenario.seconds * SECOND as f64),
             breaches,
             examples,
+            measured: None,
         }
     }
 }
