--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -89,6 +89,8 @@
     pub scenario: Scenario,
     /// Workers with their zones.
     pub workers: Vec<(Worker, u32)>,
+    /// Each worker's kind.
+    pub kinds: Vec<u32>,
     /// What goes wrong on their connections.
     pub wires: Vec<Wire>,
     /// The referee.
@@ -122,6 +124,7 @@
         World {
             wires: vec![Wire::default(); fleet.workers.len()],
             workers: fleet.workers,
+            kinds: fleet.kinds,
             referee: Referee::new(cold_budget(scenario)),
             tally: Tally::new(scenario.classes.len()),
             attempts_sent: 0,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -164,11 +164,19 @@
     /// Clients heed `Retry-After` up to so many seconds.
     #[serde(default = "two")]
     pub heed: f64,
+    /// A client that has heard nothing so many seconds after its time breaks a rule; more than the
+    /// default is for machines that stall, and tests that must not fail for it.
+    #[serde(default = "grace")]
+    pub grace: f64,
     /// Sigma of the log-normal error of hints; absent, there are none.
     #[serde(default)]
     pub hint_error: Option<f64>,
 }
 
+fn grace() -> f64 {
+    0.05
+}
+
 fn two() -> f64 {
     2.0
 }
@@ -364,6 +372,7 @@
         };
         positive("seconds", self.seconds)?;
         positive("clients.rate", self.clients.rate)?;
+        positive("clients.grace", self.clients.grace)?;
         if self.zones == 0 || self.schedulers == 0 || self.classes.is_empty() || self.workers.is_empty() {
             return Err("zones, schedulers, workers and classes: at least one of each".into());
         }
