Run experiments from files, resumable run by run; measure the program against a bare relay

Need: a claim about the scheduler wants scenarios, variants and seeds on paper, runs that survive a cut-off, and what the whole program costs beside what any relay would.

Change: copperspread-lab run plays a TOML file of variants (policies, programs, settings, drives), keeps each run as a line and plays only what is missing; cost compares the program with a relay of the same exchange; reports show differences with intervals, load against capacity by worker, and zones.

--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -26,7 +26,7 @@
 impl std::fmt::Display for Difference {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let (mean, [low, high]) = (self.mean, self.interval);
-        if self.pairs < FEWEST {
+        if !self.has_interval() {
             write!(f, "{mean:+.3} (too few seeds for an interval)")
         } else if self.shown() {
             write!(f, "{mean:+.3} [{low:+.3}, {high:+.3}]")
@@ -61,16 +61,21 @@
         })
     }
 
+    /// Whether there are pairs enough for the interval to say anything.
+    pub fn has_interval(&self) -> bool {
+        self.pairs >= FEWEST
+    }
+
     /// Whether the interval leaves zero out. Fewer than three pairs show nothing.
     pub fn shown(&self) -> bool {
-        self.pairs >= FEWEST && (self.interval[0] > 0.0 || self.interval[1] < 0.0)
+        self.has_interval() && (self.interval[0] > 0.0 || self.interval[1] < 0.0)
     }
 }
 
-/// One policy's runs of a scenario.
+/// One variant's runs of a scenario.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
-    /// The policy.
+    /// The variant: a policy, or the name that an experiment gives it.
     pub policy: String,
     /// The share of worth served in time, the mean over seeds.
     pub share: f64,
@@ -93,16 +98,25 @@
         kinds.iter().flat_map(|&kind| seeds.iter().map(move |&seed| (kind, seed))).collect();
     let runs: Vec<Outcome> =
         pairs.par_iter().map(|&(kind, seed)| play(scenario, kind, seed)).collect::<Result<_, String>>()?;
-    let first: Vec<f64> = runs.iter().take(seeds.len()).map(|run| run.worth.share()).collect();
-    let row = |(at, runs): (usize, &[Outcome])| {
-        let shares: Vec<f64> = runs.iter().map(|run| run.worth.share()).collect();
+    let names: Vec<String> = kinds.iter().map(|kind| kind.name()).collect();
+    let each = seeds.len().max(1);
+    Ok(rows(names.into_iter().zip(runs.chunks(each).map(<[_]>::to_vec)).collect()))
+}
+
+/// Variants with their runs, of the same seeds in the same order, as rows; the first is compared with
+/// each other one.
+pub fn rows(variants: Vec<(String, Vec<Outcome>)>) -> Vec<Row> {
+    let shares = |runs: &[Outcome]| runs.iter().map(|run| run.worth.share()).collect::<Vec<f64>>();
+    let first: Vec<f64> = variants.first().map_or_else(Vec::new, |(_, runs)| shares(runs));
+    let row = |(at, (policy, runs)): (usize, (String, Vec<Outcome>))| {
+        let shares = shares(&runs);
         let behind: Vec<f64> = first.iter().zip(&shares).map(|(first, own)| first - own).collect();
         let part = |of: fn(&Outcome) -> f64| {
             runs.iter().map(|run| of(run) / run.worth.asked.max(1e-12)).sum::<f64>()
                 / runs.len().max(1) as f64
         };
         Row {
-            policy: kinds[at].name(),
+            policy,
             share: shares.iter().sum::<f64>() / shares.len().max(1) as f64,
             went: [
                 part(|run| run.worth.refused),
@@ -112,23 +126,23 @@
             ],
             behind: if at == 0 { None } else { Difference::of(&behind) },
             breaches: runs.iter().flat_map(|run| run.breaches.values()).sum(),
-            runs: runs.to_vec(),
+            runs,
         }
     };
-    Ok(runs.chunks(seeds.len().max(1)).enumerate().map(row).collect())
+    variants.into_iter().enumerate().map(row).collect()
 }
 
 /// The rows as a table.
 pub fn table(scenario: &Scenario, rows: &[Row]) -> String {
     let mut text = format!(
-        "{}: {}\n{:<18} {:>7} {:>8} {:>6} {:>7} {:>6} {:>9}  first less this one\n",
-        scenario.name, scenario.about, "policy", "served", "refused", "late", "failed", "lost", "breaches"
+        "{}: {}\n{:<26} {:>7} {:>8} {:>6} {:>7} {:>6} {:>9}  first less this one\n",
+        scenario.name, scenario.about, "variant", "served", "refused", "late", "failed", "lost", "breaches"
     );
     for row in rows {
         let [refused, late, failed, lost] = row.went;
         let behind = row.behind.map(|of| of.to_string()).unwrap_or_default();
         text += &format!(
-            "{:<18} {:>7.3} {refused:>8.3} {late:>6.3} {failed:>7.3} {lost:>6.3} {:>9}  {behind}\n",
+            "{:<26} {:>7.3} {refused:>8.3} {late:>6.3} {failed:>7.3} {lost:>6.3} {:>9}  {behind}\n",
             row.policy, row.share, row.breaches
         );
     }
--- a/crates/lab/src/emulate/clients.rs
+++ b/crates/lab/src/emulate/clients.rs
@@ -76,9 +76,8 @@
             Said::Failed | Said::Broken => break End::Failed,
         }
     };
-    let worth = class.worth * of.work * of.slots;
     let took = stage.now().saturating_sub(of.at);
-    stage.act(|world| world.tally.ended(of.at, of.class as usize, worth, took, end));
+    stage.act(|world| world.tally.ended(&of, class, took, end));
 }
 
 fn request(
--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -11,7 +11,7 @@
 mod listing;
 pub mod program;
 pub mod socket;
-mod stage;
+pub(crate) mod stage;
 mod workers;
 mod world;
 
@@ -28,7 +28,7 @@
 use crate::model::arrivals::Arrivals;
 use crate::model::chance::{Stream, stream};
 use crate::model::fleet::{Fleet, Turn};
-use crate::outcome::{Measured, Outcome};
+use crate::outcome::{Measured, Outcome, of_workers};
 use crate::scenario::{Scenario, Trouble, micros};
 use listing::Listing;
 use program::{Process, Program, configuration};
@@ -274,6 +274,8 @@
         worth: world.tally.worth,
         classes: world.tally.classes(&names),
         seconds: world.tally.seconds.clone(),
+        zones: world.tally.zones.clone(),
+        workers: of_workers(&world.workers, &world.kinds, stage.scenario.seconds),
         attempts: world.attempts_sent as f64 / jobs.max(1) as f64,
         crossing: world.crossed as f64 / world.attempts_sent.max(1) as f64,
         fell: world.fell,
--- a/crates/lab/src/emulate/program.rs
+++ b/crates/lab/src/emulate/program.rs
@@ -255,3 +255,9 @@
     let stat = procfs::process::Process::new(pid as i32).ok()?.stat().ok()?;
     Some(Duration::from_secs_f64((stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64))
 }
+
+/// Memory that a process holds, in bytes.
+pub fn resident(pid: u32) -> Option<u64> {
+    let status = procfs::process::Process::new(pid as i32).ok()?.status().ok()?;
+    status.vmrss.map(|kb| kb * 1024)
+}
--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -126,7 +126,7 @@
             workers: fleet.workers,
             kinds: fleet.kinds,
             referee: Referee::new(cold_budget(scenario)),
-            tally: Tally::new(scenario.classes.len()),
+            tally: Tally::new(scenario.classes.len(), scenario.zones),
             attempts_sent: 0,
             crossed: 0,
             fell: 0,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,25 +1,35 @@
 //! The laboratory: a model of the world round a scheduler, a drive in virtual time, and a referee.
 //!
 //! ```text
-//!   scenario.rs (TOML) ──► model::world ──► clients, workers, faults, network, discovery
-//!                              │ events and effects, time as an argument
-//!                              ▼
-//!   policy.rs ◄── Event ── sim::engine ── what clients and workers saw ──► referee.rs
-//!   (the module, ── Action ─►   │
-//!    baselines)                 └──► outcome.rs ──► compare.rs (paired by seed)
+//!   scenario.rs (TOML) ──► model/ ──► fleet, faults, arrivals, keys, workers, what breaks on the wire
+//!                            │ events and effects, time as an argument
+//!              ┌─────────────┴──────────────┐
+//!           sim.rs                      emulate/
+//!   virtual time, policy.rs        real time on loopback, the program's
+//!   called directly                own processes (or the node with a policy)
+//!              └─────────────┬──────────────┘
+//!                 what clients and workers saw ──► referee.rs
+//!                            │
+//!        outcome.rs ──► compare.rs (paired by seed) ──► report.rs
+//!                            ▲
+//!                      experiment.rs (TOML: scenarios, variants, seeds; kept run by run)
 //! ```
 //!
-//! `load.rs` sends the same arrivals over real sockets.
+//! `load.rs` sends the same arrivals to any address over HTTP; `cost.rs` measures the whole program
+//! against `relay.rs`, which decides nothing.
 //!
 //! The model does no I/O and reads no clock. All chance comes from one seed, with a stream for each
 //! component, so that two variants of one experiment meet the same arrivals.
 pub mod compare;
+pub mod cost;
 pub mod emulate;
+pub mod experiment;
 pub mod load;
 pub mod model;
 pub mod outcome;
 pub mod policy;
 pub mod referee;
+pub mod relay;
 pub mod report;
 pub mod scenario;
 pub mod sim;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,15 +8,18 @@
 use std::time::Instant;
 
 use clap::{Parser, Subcommand};
-use copperspread_lab::compare::{compare, table};
+use copperspread_lab::compare::{Row, compare, table};
+use copperspread_lab::cost;
 use copperspread_lab::emulate::program::Program;
 use copperspread_lab::emulate::{Schedulers, emulate};
+use copperspread_lab::experiment::{Plan, Watcher, agreement};
 use copperspread_lab::load::load;
 use copperspread_lab::outcome::Outcome;
 use copperspread_lab::policy::Kind;
 use copperspread_lab::report::html;
 use copperspread_lab::scenario::Scenario;
 use copperspread_lab::sim::play;
+use indicatif::{ProgressBar, ProgressStyle};
 
 /// Longest load that is sent, in seconds: it stops by itself.
 const LONGEST: f64 = 3_600.0;
@@ -72,6 +75,27 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measure what the whole program costs for a job, against a bare relay in the same run
+    Cost {
+        /// The program, in place of the one beside this one
+        #[arg(long)]
+        program: Option<std::path::PathBuf>,
+        /// Rounds, each of both in turn
+        #[arg(long, default_value_t = 5)]
+        rounds: u32,
+        /// Seconds of each in a round
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+        /// Clients that ask one request after the other
+        #[arg(long, default_value_t = 64)]
+        clients: usize,
+        /// Workers
+        #[arg(long, default_value_t = 8)]
+        workers: u32,
+        /// Print all rounds as JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Serve as one of the emulator's schedulers, by EDGE_CONFIG
     #[command(hide = true)]
     Node {
@@ -79,6 +103,9 @@
         #[arg(long, value_parser = kind)]
         policy: Kind,
     },
+    /// Serve as a bare relay, by EDGE_CONFIG
+    #[command(hide = true)]
+    Relay,
     /// Send a scenario's jobs over HTTP, in an open loop: a slow answer holds no later job back
     Load {
         /// A scenario's name, or a file: its classes, rate and bursts
@@ -105,6 +132,20 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play an experiment's file: scenarios, variants and seeds; a cut-off one goes on where it stood
+    Run {
+        /// The experiment, a TOML file
+        experiment: std::path::PathBuf,
+        /// The file that keeps the runs; the experiment's with `.runs.jsonl` if it is not named
+        #[arg(long, value_name = "FILE")]
+        runs: Option<std::path::PathBuf>,
+        /// Print all outcomes as JSON
+        #[arg(long)]
+        json: bool,
+        /// Write a report too: one HTML file that needs nothing else
+        #[arg(long, value_name = "FILE")]
+        report: Option<std::path::PathBuf>,
+    },
     /// Play scenarios under the module and the baselines, in pairs of one seed
     Compare {
         /// Scenarios' names or files; none is all that come with the program but the large one
@@ -175,10 +216,44 @@
     }
 }
 
-fn json(value: &impl serde::Serialize) -> Result<String, String> {
+fn json(value: &(impl serde::Serialize + ?Sized)) -> Result<String, String> {
     serde_json::to_string(value).map(|text| text + "\n").map_err(|e| e.to_string())
 }
 
+fn write_report(path: Option<std::path::PathBuf>, played: &[(Scenario, Vec<Row>)]) -> Result<(), String> {
+    let Some(path) = path else { return Ok(()) };
+    std::fs::write(&path, html(played)?).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// A bar on standard error, where that is a terminal.
+struct Bar(ProgressBar);
+
+impl Bar {
+    fn new() -> Bar {
+        let style = ProgressStyle::with_template("{bar:40} {pos} of {len} runs, {elapsed} gone, {eta} left");
+        Bar(ProgressBar::new(0).with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar())))
+    }
+}
+
+impl Watcher for Bar {
+    fn begins(&self, kept: usize, all: usize, unreadable: usize) {
+        if kept > 0 || unreadable > 0 {
+            let _ = writeln!(
+                std::io::stderr(),
+                "{kept} of {all} runs are kept from before; lines that cannot be read: {unreadable}"
+            );
+        }
+        self.0.set_length(all as u64);
+        self.0.set_position(kept as u64);
+        // So that the time left is reckoned from what is played now.
+        self.0.reset_eta();
+    }
+
+    fn ended(&self) {
+        self.0.inc(1);
+    }
+}
+
 /// An outcome in words.
 fn told(outcome: &Outcome) -> String {
     let share = |worth: f64| worth / outcome.worth.asked;
@@ -268,6 +343,22 @@
             print(&if whole { json(&outcome)? } else { told(&outcome) })?;
             Ok(kept)
         }
+        Command::Cost { program, rounds, seconds, clients, workers, json: whole } => {
+            let program = match program {
+                Some(file) => Program { file, arguments: vec!["serve".into()] },
+                None => Program::of(Kind::Copperspread)?,
+            };
+            let own = std::env::current_exe().map_err(|e| format!("this program's own file: {e}"))?;
+            let relay = Program { file: own, arguments: vec!["relay".into()] };
+            let sides = [("copperspread".to_owned(), program), ("bare relay".to_owned(), relay)];
+            let shown = cost::measure(&sides, cost::Terms { rounds, seconds, clients, workers })?;
+            print(&if whole { json(&shown)? } else { cost::table(&shown) })?;
+            Ok(true)
+        }
+        Command::Relay => {
+            copperspread_lab::relay::serve()?;
+            Ok(true)
+        }
         Command::Node { policy } => {
             copperspread_lab::emulate::baseline::serve(policy)?;
             Ok(true)
@@ -304,12 +395,28 @@
                 print(&if whole { json(&rows)? } else { table(&scenario, &rows) + "\n" })?;
                 played.push((scenario, rows));
             }
-            if let Some(path) = report {
-                let page = html(&played)?;
-                std::fs::write(&path, page).map_err(|e| format!("{}: {e}", path.display()))?;
-            }
+            write_report(report, &played)?;
             Ok(true)
         }
+        Command::Run { experiment: file, runs, json: whole, report } => {
+            let named = |name: &str| {
+                SHIPPED.iter().find(|(known, _)| *known == name).map(|(_, text)| (*text).to_owned())
+            };
+            let plan = Plan::read(&file, named)?;
+            let runs = runs.unwrap_or_else(|| file.with_extension("runs.jsonl"));
+            let played = plan.play(&runs, &Bar::new())?;
+            let mut kept = true;
+            for (scenario, rows) in &played {
+                kept &= rows.iter().all(|row| row.breaches == 0);
+                print(&if whole { json(rows)? } else { table(scenario, rows) + "\n" })?;
+            }
+            let pairs = plan.pairs();
+            if !pairs.is_empty() && !whole {
+                print(&agreement(&pairs, &played))?;
+            }
+            write_report(report, &played)?;
+            Ok(kept)
+        }
     }
 }
 
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -5,7 +5,10 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
+use crate::model::arrivals::Arrival;
+use crate::model::worker::Worker;
 use crate::referee::{Breach, Rule};
+use crate::scenario::Class;
 
 /// What became of a client's job in the end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +75,19 @@
     pub served_ms: [f64; 3],
 }
 
+/// One worker's part of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OfWorker {
+    /// Its zone.
+    pub zone: u32,
+    /// Its kind: its group's place in the scenario.
+    pub kind: u32,
+    /// Core-seconds that it could have done in the scenario's time, warm and up all through.
+    pub capacity: f64,
+    /// Core-seconds that it did.
+    pub done: f64,
+}
+
 /// What a run came to. Two runs of one seed are equal to the byte in JSON.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Outcome {
@@ -91,6 +107,10 @@
     pub classes: Vec<OfClass>,
     /// By second of asking.
     pub seconds: Vec<Worth>,
+    /// By the clients' zone, and in it by class.
+    pub zones: Vec<Vec<Worth>>,
+    /// By worker.
+    pub workers: Vec<OfWorker>,
     /// Attempts a job.
     pub attempts: f64,
     /// The share of attempts that went to another zone.
@@ -121,25 +141,43 @@
     pub cores: f64,
 }
 
+/// The workers' parts, over so many seconds.
+pub fn of_workers(workers: &[(Worker, u32)], kinds: &[u32], seconds: f64) -> Vec<OfWorker> {
+    let one = |((worker, zone), kind): (&(Worker, u32), &u32)| OfWorker {
+        zone: *zone,
+        kind: *kind,
+        capacity: worker.build.cores.min(worker.build.slots) * worker.build.speed * seconds,
+        // Work counts in seconds at speed 1, capacity in what the worker's own speed gives.
+        done: worker.done_work,
+    };
+    workers.iter().zip(kinds).map(one).collect()
+}
+
 /// Counts while a run goes on.
 pub struct Tally {
     pub(crate) worth: Worth,
     pub(crate) classes: Vec<(u64, Worth, Histogram<u64>)>,
     pub(crate) seconds: Vec<Worth>,
+    pub(crate) zones: Vec<Vec<Worth>>,
 }
 
 impl Tally {
-    /// For so many classes.
-    pub fn new(classes: usize) -> Tally {
+    /// For so many classes and zones.
+    pub fn new(classes: usize, zones: u32) -> Tally {
         // Up to a day, to three figures.
         let empty =
             || Histogram::new_with_max(86_400 * SECOND, 3).unwrap_or_else(|_| unreachable!("good bounds"));
+        let zones = vec![vec![Worth::default(); classes]; zones as usize];
         let classes = (0..classes).map(|_| (0, Worth::default(), empty())).collect();
-        Tally { worth: Worth::default(), classes, seconds: Vec::new() }
+        Tally { worth: Worth::default(), classes, seconds: Vec::new(), zones }
     }
 
-    /// A client's job has ended; `took` is from its first try, `worth` what it was worth.
-    pub fn ended(&mut self, asked_at: Micros, class: usize, worth: f64, took: Micros, end: End) {
+    /// A client's job has ended, in a zone of so many; `took` is from its first try.
+    pub fn ended(&mut self, of: &Arrival, class: &Class, took: Micros, end: End) {
+        let worth = class.worth * of.work * of.slots;
+        let zone = of.scheduler as usize % self.zones.len();
+        let (asked_at, class) = (of.at, of.class as usize);
+        self.zones[zone][class].add(worth, end);
         self.worth.add(worth, end);
         let of = &mut self.classes[class];
         of.0 += 1;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -3,8 +3,8 @@
 use plotters::element::DashedPathElement;
 use plotters::prelude::*;
 
-use crate::compare::Row;
-use crate::outcome::Worth;
+use crate::compare::{Difference, Row};
+use crate::outcome::{OfWorker, Worth};
 use crate::scenario::Scenario;
 
 /// Okabe and Ito's colours, told apart by most eyes; in grey print the lines differ by their dashes.
@@ -69,6 +69,9 @@
             shares => shares(scenario, &lines)?,
             went => went(scenario, &sums(first, seconds))?,
             classes,
+            zones => zones(scenario, first),
+            load => against_capacity(first)?,
+            differences => differences(rows)?,
             faults,
         });
     }
@@ -151,6 +154,136 @@
     })
 }
 
+/// The first row's worth by the clients' zone and class: names, shares in time and what was asked for.
+fn zones(scenario: &Scenario, first: &Row) -> Vec<minijinja::Value> {
+    let mut rows = Vec::new();
+    for zone in 0..scenario.zones as usize {
+        let share = |class: usize| {
+            let of = first.runs.iter().filter_map(|run| run.zones.get(zone)?.get(class));
+            let (asked, in_time) = of.fold((0.0, 0.0), |sum, w| (sum.0 + w.asked, sum.1 + w.in_time));
+            if asked > 0.0 { format!("{:.3}", in_time / asked) } else { "-".to_owned() }
+        };
+        let shares: Vec<String> = (0..scenario.classes.len()).map(share).collect();
+        rows.push(context! { zone, shares });
+    }
+    rows
+}
+
+/// What each worker did against what it could have done, in the mean over runs: by zone, and in it by
+/// kind.
+fn against_capacity(first: &Row) -> Result<String, String> {
+    let Some(run) = first.runs.first().filter(|run| !run.workers.is_empty()) else {
+        return Ok(String::new());
+    };
+    let mut order: Vec<usize> = (0..run.workers.len()).collect();
+    order.sort_by_key(|&at| (run.workers[at].zone, run.workers[at].kind, at));
+    let runs = first.runs.len() as f64;
+    let mean = |at: usize, of: fn(&OfWorker) -> f64| {
+        first.runs.iter().filter_map(|run| run.workers.get(at)).map(of).sum::<f64>() / runs
+    };
+    let bars: Vec<(f64, f64)> =
+        order.iter().map(|&at| (mean(at, |w| w.capacity), mean(at, |w| w.done))).collect();
+    let highest = bars.iter().map(|bar| bar.0.max(bar.1)).fold(1e-9, f64::max) * 1.15;
+    let all = bars.len() as f64;
+    let said = |error: &dyn std::fmt::Display| error.to_string();
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(|e| said(&e))?;
+        let mut builder = ChartBuilder::on(&area);
+        builder.margin(8).margin_right(LEGEND).x_label_area_size(34).y_label_area_size(60);
+        let mut chart = builder.build_cartesian_2d(0.0..all, 0.0..highest).map_err(|e| said(&e))?;
+        let mut mesh = chart.configure_mesh();
+        mesh.disable_x_mesh().disable_x_axis().y_desc("core-seconds").label_style(("sans-serif", 13));
+        mesh.light_line_style(WHITE.mix(0.0)).draw().map_err(|e| said(&e))?;
+        // Bars stand apart while there is room for it.
+        let gap = if bars.len() > 150 { 0.0 } else { 0.12 };
+        for (number, (capacity, done)) in bars.iter().enumerate() {
+            let (left, right) = (number as f64 + gap, number as f64 + 1.0 - gap);
+            let bar = |to, colour: RGBColor| Rectangle::new([(left, 0.0), (right, to)], colour.filled());
+            let both = [bar(*capacity, RGBColor(205, 205, 205)), bar(*done, COLOURS[2])];
+            chart.draw_series(both).map_err(|e| said(&e))?;
+        }
+        // A line where a zone ends, and its name under its bars.
+        let mut from = 0;
+        while let Some(&first) = order.get(from) {
+            let zone = run.workers[first].zone;
+            let to = order[from..].iter().position(|&at| run.workers[at].zone != zone);
+            let to = to.map_or(order.len(), |step| from + step);
+            if to < order.len() {
+                let line = [(to as f64, 0.0), (to as f64, highest)];
+                chart.draw_series(LineSeries::new(line, BLACK.stroke_width(1))).map_err(|e| said(&e))?;
+            }
+            let (middle, _) = chart.backend_coord(&((from + to) as f64 / 2.0, 0.0));
+            let name =
+                Text::new(format!("zone {zone}"), (middle - 20, SIZE.1 as i32 - 34), ("sans-serif", 13));
+            area.draw(&name).map_err(|e| said(&e))?;
+            from = to;
+        }
+        let marks = [("could have done", RGBColor(205, 205, 205)), ("did", COLOURS[2])];
+        for (number, (name, colour)) in marks.into_iter().enumerate() {
+            let (x, y) = ((SIZE.0 - LEGEND) as i32 + 14, 18 + 20 * number as i32);
+            let mark = Rectangle::new([(x, y - 5), (x + 24, y + 5)], colour.filled());
+            area.draw(&mark).map_err(|e| said(&e))?;
+            area.draw(&Text::new(name, (x + 32, y - 6), ("sans-serif", 13))).map_err(|e| said(&e))?;
+        }
+        area.present().map_err(|e| said(&e))?;
+    }
+    Ok(svg)
+}
+
+/// Height of a variant's line in the plot of differences, and of what surrounds the lines.
+const LINE: u32 = 26;
+const ROUND: u32 = 52;
+/// Width of the variants' names.
+const NAMES: u32 = 200;
+
+/// The first variant less each other one, with its interval. Nothing where there are too few pairs.
+fn differences(rows: &[Row]) -> Result<String, String> {
+    let others: Vec<(&str, Difference)> = rows
+        .iter()
+        .filter_map(|row| Some((&*row.policy, row.behind.filter(Difference::has_interval)?)))
+        .collect();
+    if others.is_empty() {
+        return Ok(String::new());
+    }
+    let ends = others.iter().flat_map(|(_, of)| [of.interval[0], of.interval[1], 0.0]);
+    let (low, high) = ends.fold((0.0_f64, 0.0_f64), |(low, high), end| (low.min(end), high.max(end)));
+    let room = ((high - low) * 0.06).max(0.002);
+    let said = |error: &dyn std::fmt::Display| error.to_string();
+    let mut svg = String::new();
+    {
+        let size = (SIZE.0, LINE * others.len() as u32 + ROUND);
+        let area = SVGBackend::with_string(&mut svg, size).into_drawing_area();
+        area.fill(&WHITE).map_err(|e| said(&e))?;
+        let mut builder = ChartBuilder::on(&area);
+        builder.margin(8).margin_right(30).x_label_area_size(34).y_label_area_size(NAMES);
+        let lines = others.len() as f64;
+        let chart = builder.build_cartesian_2d(low - room..high + room, 0.0..lines);
+        let mut chart = chart.map_err(|e| said(&e))?;
+        let mut mesh = chart.configure_mesh();
+        mesh.disable_y_mesh().disable_y_axis().label_style(("sans-serif", 13));
+        mesh.x_desc("first less this one").light_line_style(WHITE.mix(0.0)).draw().map_err(|e| said(&e))?;
+        let zero = [(0.0, 0.0), (0.0, lines)];
+        chart.draw_series(LineSeries::new(zero, BLACK.stroke_width(1))).map_err(|e| said(&e))?;
+        for (number, (name, of)) in others.iter().enumerate() {
+            let y = lines - number as f64 - 0.5;
+            let line = [(of.interval[0], y), (of.interval[1], y)];
+            chart.draw_series(LineSeries::new(line, COLOURS[2].stroke_width(3))).map_err(|e| said(&e))?;
+            // Hollow where no difference is shown, for those who print without colours.
+            let fill = if of.shown() { COLOURS[2].filled() } else { WHITE.filled() };
+            chart.draw_series([Circle::new((of.mean, y), 5, fill)]).map_err(|e| said(&e))?;
+            let edge = COLOURS[2].stroke_width(2);
+            chart.draw_series([Circle::new((of.mean, y), 5, edge)]).map_err(|e| said(&e))?;
+            let (_, at) = chart.backend_coord(&(low, y));
+            area.draw(&Text::new((*name).to_owned(), (12, at - 7), ("sans-serif", 13)))
+                .map_err(|e| said(&e))?;
+        }
+        area.present().map_err(|e| said(&e))?;
+    }
+    Ok(svg)
+}
+
 /// A line of a plot's legend.
 struct Mark {
     name: String,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -21,7 +21,7 @@
 use crate::model::keys::{Keys, Repeat};
 use crate::model::wire::{Cut, Wire};
 use crate::model::worker::{self, Offer, Offered, Worker};
-use crate::outcome::{End, Outcome, Tally};
+use crate::outcome::{End, Outcome, Tally, of_workers};
 use crate::policy::{Kind, Policy, Truth};
 use crate::referee::{Heard, Referee};
 use crate::scenario::{Scenario, Trouble, micros};
@@ -213,7 +213,7 @@
             seed,
             actions: Vec::new(),
             referee: Referee::new(cold_budget(scenario)),
-            tally: Tally::new(scenario.classes.len()),
+            tally: Tally::new(scenario.classes.len(), scenario.zones),
             events: 0,
             attempts_sent: 0,
             crossed: 0,
@@ -459,8 +459,7 @@
         let Some(asked) = self.jobs.get_mut(&job) else { return };
         asked.ended = true;
         let class = &self.scenario.classes[asked.of.class as usize];
-        let worth = class.worth * asked.of.work * asked.of.slots;
-        self.tally.ended(asked.of.at, asked.of.class as usize, worth, self.now - asked.of.at, end);
+        self.tally.ended(&asked.of, class, self.now - asked.of.at, end);
     }
 
     /// Lets go of a request that nobody waits for any more.
@@ -904,6 +903,8 @@
             worth: self.tally.worth,
             classes: self.tally.classes(&names),
             seconds: self.tally.seconds.clone(),
+            zones: self.tally.zones.clone(),
+            workers: of_workers(&self.workers, &self.kinds, self.scenario.seconds),
             attempts: self.attempts_sent as f64 / jobs.max(1) as f64,
             crossing: self.crossed as f64 / self.attempts_sent.max(1) as f64,
             fell: self.fell,
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -302,7 +302,10 @@
     let share = format!("<td>{:.3}", rows[0].share);
     let page = html(&[(scenario, rows)]).expect("a page");
     assert!(page.contains(&share) && page.contains("least_outstanding") && page.contains("Resetting(0.2)"));
-    assert_eq!(page.matches("<svg").count(), 2);
+    // Differences, shares over time, where the worth went, and load against capacity.
+    assert_eq!(page.matches("<svg").count(), 4);
+    assert!(page.contains("clients of<th>safe<th>keyed<th>once") && page.contains("zone 2"));
+    assert_eq!(page.matches("could have done").count(), 2, "the legend and the caption");
     // Nothing is fetched: the only address is the name of SVG's own space.
     let addresses = page.matches("http").count();
     assert_eq!(addresses, page.matches("http://www.w3.org/2000/svg").count());
