Model memory, priority, progress, connections, ways of pairs and recorded traces

Change: workers with memory and an order by worth, words of progress, the delay of new connections, ways and losses of a pair of zones, arrivals from a recorded trace; copperspread-lab trace puts a scheduler's records into a scenario. Both drives play them.

--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -128,6 +128,7 @@
     for (worker, socket) in sockets.iter_mut().enumerate() {
         tokio::task::spawn_local(workers::listen(Rc::clone(&stage), worker as u32, socket.take()));
         tokio::task::spawn_local(workers::look(Rc::clone(&stage), worker as u32));
+        tokio::task::spawn_local(workers::tell_progress(Rc::clone(&stage), worker as u32));
     }
     let folder = tempfile::tempdir().map_err(wrong("a folder for configurations"))?;
     let mut processes = Vec::new();
--- a/crates/lab/src/emulate/stage.rs
+++ b/crates/lab/src/emulate/stage.rs
@@ -266,6 +266,10 @@
     let mut body = json!({"id": format!("{:016x}", news.request), "from": format!("w-{}", news.worker)});
     match news.word {
         Word::Started => body["state"] = "started".into(),
+        Word::Running(share) => {
+            body["state"] = "running".into();
+            body["share"] = share.into();
+        }
         Word::Done(report) => {
             body["state"] = "done".into();
             body["result"] = result(news.request).into();
--- a/crates/lab/src/emulate/workers.rs
+++ b/crates/lab/src/emulate/workers.rs
@@ -21,6 +21,7 @@
 use crate::emulate::socket::{Plan, Socket, reset};
 use crate::emulate::stage::{Answer, Door, LONGEST_BODY, Stage, load_header};
 use crate::emulate::world::Taken;
+use crate::scenario::micros;
 
 /// An idle connection is closed after this long, as the settings say.
 const KEEPALIVE: Duration = Duration::from_secs(5);
@@ -111,6 +112,11 @@
 /// One connection, until either side ends it or its process or machine goes.
 async fn connection(stage: Rc<Stage>, worker: u32, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
+    // What a new connection costs is waited for before anything is read from it.
+    let cost = micros(stage.scenario.network.connect);
+    if cost > 0 {
+        sleep(Duration::from_micros(cost)).await;
+    }
     let mut door = stage.ports[worker as usize].door.subscribe();
     let plan = Rc::new(Cell::new(Plan::Whole));
     let service = service_fn(|request: Request<Incoming>| {
@@ -186,6 +192,18 @@
     }
 }
 
+/// Tells how far a worker's jobs are, where workers do.
+pub async fn tell_progress(stage: Rc<Stage>, worker: u32) {
+    let every = micros(stage.scenario.reports.progress);
+    if every == 0 {
+        return;
+    }
+    loop {
+        sleep(Duration::from_micros(every)).await;
+        stage.act(|world| world.progress(worker));
+    }
+}
+
 /// Looks at a worker whenever something of it is due.
 pub async fn look(stage: Rc<Stage>, worker: u32) {
     let wake = &stage.ports[worker as usize].wake;
--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -11,7 +11,7 @@
 use crate::model::fleet::{Fleet, Turn, cold_budget};
 use crate::model::keys::{Keys, Repeat};
 use crate::model::wire::{Cut, Wire};
-use crate::model::worker::{self, Offer, Offered, Worker};
+use crate::model::worker::{self, Offer, Worker};
 use crate::outcome::Tally;
 use crate::referee::Referee;
 use crate::scenario::{Scenario, Trouble, micros};
@@ -38,6 +38,8 @@
 pub enum Word {
     /// The job began to run.
     Started,
+    /// So great a share of it is done.
+    Running(f64),
     /// It is done.
     Done(Report),
     /// It was lost with the process.
@@ -164,8 +166,7 @@
     /// The way between two zones, apart from what the machine's own way takes. Ways within a zone are
     /// shorter than a timer's step: the machine's own way stands for them.
     pub fn way(&self, from: u32, to: u32) -> Micros {
-        let network = &self.scenario.network;
-        let way = micros(if from == to { network.near } else { network.far });
+        let way = micros(self.scenario.network.between(from, to).0);
         if way < 1_000 { 0 } else { way }
     }
 
@@ -238,7 +239,7 @@
             Cut::Garbage => return Taken::Garbage,
             Cut::Whole | Cut::After => {}
         }
-        let offered = Offered { attempt: id, class: arrival.class, work: arrival.work, slots: arrival.slots };
+        let offered = self.scenario.classes[arrival.class as usize].offered(id, &arrival);
         let mut effects = Vec::new();
         match self.workers[worker as usize].0.offer(now, offered, &mut effects) {
             Offer::Taken => {
@@ -349,6 +350,22 @@
         }
     }
 
+    /// How far each running job of a worker is, to be called back.
+    pub fn progress(&mut self, worker: u32) {
+        let now = self.now();
+        let of = &self.workers[worker as usize].0;
+        let mut told: Vec<(u64, f64)> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.worker == worker)
+            .filter_map(|(&id, _)| Some((id, of.progress(now, id)?)))
+            .collect();
+        told.sort_unstable_by_key(|&(id, _)| id);
+        for (id, share) in told {
+            self.tell(id, Kind::Running(share));
+        }
+    }
+
     /// An attempt is over at its worker: repeats that were dropped for it hear so.
     fn over(&mut self, id: u64, kind: Kind) {
         let Some(of) = self.attempts.remove(&id) else { return };
@@ -363,6 +380,7 @@
         let Some(&Attempt { request, worker, scheduler, .. }) = self.attempts.get(&id) else { return };
         let word = match kind {
             Kind::Started => Word::Started,
+            Kind::Running(share) => Word::Running(share),
             Kind::Done => Word::Done(self.report(worker)),
             Kind::Returned => Word::Returned(self.report(worker)),
             Kind::Lost => Word::Lost,
@@ -378,9 +396,10 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Kind {
     Started,
+    Running(f64),
     Done,
     Lost,
     Returned,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod report;
 pub mod scenario;
 pub mod sim;
+pub mod trace;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -19,6 +19,7 @@
 use copperspread_lab::report::html;
 use copperspread_lab::scenario::Scenario;
 use copperspread_lab::sim::play;
+use copperspread_lab::trace::record;
 use indicatif::{ProgressBar, ProgressStyle};
 
 /// Longest load that is sent, in seconds: it stops by itself.
@@ -75,6 +76,13 @@
         #[arg(long)]
         json: bool,
     },
+    /// Print a scenario with the jobs that a scheduler's records hold in place of drawn ones
+    Trace {
+        /// A scenario's name, or a file: fleet, classes and faults
+        scenario: String,
+        /// The file of records
+        records: std::path::PathBuf,
+    },
     /// Measure what the whole program costs for a job, against a bare relay in the same run
     Cost {
         /// The program, in place of the one beside this one
@@ -343,6 +351,22 @@
             print(&if whole { json(&outcome)? } else { told(&outcome) })?;
             Ok(kept)
         }
+        Command::Trace { scenario: name, records } => {
+            let mut scenario = scenario(&name)?;
+            let said = |why: &dyn std::fmt::Display| format!("{}: {why}", records.display());
+            let file = std::fs::File::open(&records).map_err(|e| said(&e))?;
+            let left_out = record(&mut scenario, std::io::BufReader::new(file)).map_err(|e| said(&e))?;
+            let _ = writeln!(
+                std::io::stderr(),
+                "{} jobs; left out: {} without a hint, {} of unknown classes; {} lines cannot be read",
+                scenario.clients.trace.len(),
+                left_out.no_hint,
+                left_out.unknown_class,
+                left_out.unreadable
+            );
+            print(&toml::to_string(&scenario).map_err(|e| e.to_string())?)?;
+            Ok(true)
+        }
         Command::Cost { program, rounds, seconds, clients, workers, json: whole } => {
             let program = match program {
                 Some(file) => Program { file, arguments: vec!["serve".into()] },
--- a/crates/lab/src/model/arrivals.rs
+++ b/crates/lab/src/model/arrivals.rs
@@ -31,6 +31,8 @@
     at: f64,
     /// The classes' shares, added up.
     shares: Vec<f64>,
+    /// How many jobs of a recorded trace have come.
+    traced: usize,
 }
 
 impl<'a> Arrivals<'a> {
@@ -41,7 +43,8 @@
             sum += class.share;
             sum
         });
-        Arrivals { scenario, chance: stream(seed, Stream::Arrivals), at: 0.0, shares: shares.collect() }
+        let (chance, shares) = (stream(seed, Stream::Arrivals), shares.collect());
+        Arrivals { scenario, chance, at: 0.0, shares, traced: 0 }
     }
 
     fn holds(fault: &Fault, at: f64) -> bool {
@@ -64,6 +67,14 @@
 
     fn next(&mut self) -> Option<Arrival> {
         let scenario = self.scenario;
+        if !scenario.clients.trace.is_empty() {
+            let of = scenario.clients.trace.get(self.traced)?;
+            self.traced += 1;
+            let scheduler = self.chance.random_range(0..scenario.schedulers);
+            let (at, class) = (micros(of.at), of.class);
+            let arrival = Arrival { at, class, work: of.work, slots: of.slots, hint: of.hint, scheduler };
+            return (of.at < scenario.seconds).then_some(arrival);
+        }
         // A changing rate is stepped over at the rate of the last arrival: bursts last for many of them.
         let gap: f64 = Exp1.sample(&mut self.chance);
         self.at += gap / (scenario.clients.rate * self.factor(self.at));
--- a/crates/lab/src/model/fleet.rs
+++ b/crates/lab/src/model/fleet.rs
@@ -49,6 +49,7 @@
                     speed: low + (high - low) * chance.random::<f64>(),
                     queue: group.queue,
                     order: group.order,
+                    memory: group.memory.unwrap_or(f64::INFINITY),
                     cold_from: cold.from,
                     cold_for: micros(cold.warm_after),
                     fall_multiple: cold.fall_multiple,
--- a/crates/lab/src/model/worker.rs
+++ b/crates/lab/src/model/worker.rs
@@ -19,6 +19,8 @@
     Fifo,
     /// The first that fits.
     Backfill,
+    /// The one that is worth most, and of equals the first; it waits until it fits.
+    Priority,
 }
 
 /// What a worker is built of.
@@ -34,6 +36,8 @@
     pub queue: usize,
     /// The order in which they start.
     pub order: Order,
+    /// Memory, in megabytes.
+    pub memory: f64,
     /// A cold worker begins at this share of its capacity ...
     pub cold_from: f64,
     /// ... and is warm after this long.
@@ -55,6 +59,10 @@
     pub work: f64,
     /// Slots while it runs.
     pub slots: f64,
+    /// Memory while it runs, in megabytes.
+    pub memory: f64,
+    /// What a unit of its work is worth, where the order goes by that.
+    pub worth: f64,
 }
 
 /// What a worker does with an offer.
@@ -129,6 +137,7 @@
     running: Vec<Running>,
     waiting: VecDeque<Offered>,
     used: f64,
+    held: f64,
     /// Up to when the running jobs are counted.
     at: Micros,
     /// What was taken lately while cold, for falling over.
@@ -157,6 +166,7 @@
             running: Vec::new(),
             waiting: VecDeque::new(),
             used: 0.0,
+            held: 0.0,
             at: 0,
             taken: VecDeque::new(),
             epoch: 0,
@@ -200,6 +210,13 @@
         running + self.waiting.iter().map(|job| job.work * job.slots).sum::<f64>()
     }
 
+    /// The share of a running job that is done; none of one that does not run here.
+    pub fn progress(&self, now: Micros, attempt: u64) -> Option<f64> {
+        let of = self.running.iter().find(|of| of.job.attempt == attempt)?;
+        let since = now.saturating_sub(self.at) as f64 / SECOND as f64 * self.rate(self.at);
+        Some(1.0 - ((of.left - since) / of.job.work.max(1e-12)).clamp(0.0, 1.0))
+    }
+
     /// Jobs that it holds.
     pub fn holds(&self) -> usize {
         self.running.len() + self.waiting.len()
@@ -249,7 +266,8 @@
 
     fn fits(&self, job: &Offered) -> bool {
         // A job wider than the machine runs alone.
-        self.used + job.slots <= self.build.slots || self.running.is_empty()
+        let memory = self.held + job.memory <= self.build.memory;
+        (memory && self.used + job.slots <= self.build.slots) || self.running.is_empty()
     }
 
     /// Whether what it was sent while cold, this job included, is more than it bears.
@@ -272,9 +290,16 @@
             let next = match self.build.order {
                 Order::Fifo => self.waiting.front().filter(|job| self.fits(job)).map(|_| 0),
                 Order::Backfill => self.waiting.iter().position(|job| self.fits(job)),
+                Order::Priority => {
+                    let places = self.waiting.iter().enumerate();
+                    let first = places
+                        .max_by(|(a, one), (b, other)| one.worth.total_cmp(&other.worth).then(b.cmp(a)));
+                    first.filter(|(_, job)| self.fits(job)).map(|(at, _)| at)
+                }
             };
             let Some(job) = next.and_then(|at| self.waiting.remove(at)) else { break };
             self.used += job.slots;
+            self.held += job.memory;
             self.running.push(Running { job, left: job.work });
             effects.push(Effect::Started(job.attempt));
         }
@@ -294,11 +319,12 @@
             }
             let of = self.running.remove(at);
             self.used -= of.job.slots;
+            self.held -= of.job.memory;
             let told = self.silent != Some(of.job.class);
             effects.push(Effect::Done { attempt: of.job.attempt, told });
         }
         if self.running.is_empty() {
-            self.used = 0.0;
+            (self.used, self.held) = (0.0, 0.0);
         }
         self.start(effects);
     }
@@ -345,7 +371,7 @@
                 effects.push(Effect::Lost(attempt));
             }
         }
-        self.used = 0.0;
+        (self.used, self.held) = (0.0, 0.0);
         self.taken.clear();
         self.epoch += 1;
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -2,7 +2,8 @@
 use copperspread_decisions::{self as decisions, Effect, Micros, SECOND, Settings};
 use serde::{Deserialize, Serialize};
 
-use crate::model::worker::Order;
+use crate::model::arrivals::Arrival;
+use crate::model::worker::{Offered, Order};
 
 /// A scenario.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -89,6 +90,9 @@
     /// The order in which they start.
     #[serde(default)]
     pub order: Order,
+    /// Memory of each, in megabytes; absent, it never fills.
+    #[serde(default)]
+    pub memory: Option<f64>,
 }
 
 fn hundred() -> usize {
@@ -136,6 +140,9 @@
     /// The share of jobs that take two slots.
     #[serde(default)]
     pub wide: f64,
+    /// Memory that a job holds while it runs, in megabytes.
+    #[serde(default)]
+    pub memory: f64,
     /// An answer in time comes within so many seconds ...
     pub aim: f64,
     /// ... plus so many times the job's own work.
@@ -168,6 +175,10 @@
     /// default is for machines that stall, and tests that must not fail for it.
     #[serde(default = "grace")]
     pub grace: f64,
+    /// A recorded trace in place of drawn arrivals, jobs in the order of their instants. The file of
+    /// records of a scheduler gives one: `copperspread-lab trace`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub trace: Vec<Recorded>,
     /// Sigma of the log-normal error of hints; absent, there are none.
     #[serde(default)]
     pub hint_error: Option<f64>,
@@ -181,6 +192,41 @@
     2.0
 }
 
+/// A job of a recorded trace.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Recorded {
+    /// When it came, in seconds.
+    pub at: f64,
+    /// Its class's place in the list.
+    pub class: u32,
+    /// Its work, in seconds at speed 1.
+    pub work: f64,
+    /// Its slots.
+    #[serde(default = "one_slot")]
+    pub slots: f64,
+    /// The hint of its work.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hint: Option<f64>,
+}
+
+fn one_slot() -> f64 {
+    1.0
+}
+
+/// The way between two zones, both ways, where it is not as all others.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pair {
+    /// The zones.
+    pub zones: [u32; 2],
+    /// Seconds one way.
+    pub way: f64,
+    /// The share of messages that come 0.2 s late, as after a loss.
+    #[serde(default)]
+    pub loss: f64,
+}
+
 /// Ways between the parties.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -191,11 +237,25 @@
     pub far: f64,
     /// The share of messages that come 0.2 s late, as after a loss.
     pub loss: f64,
+    /// Seconds by which a new connection to a worker delays the hand-over that it is opened for.
+    pub connect: f64,
+    /// Pairs of zones whose ways are others.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub pairs: Vec<Pair>,
 }
 
 impl Default for Network {
     fn default() -> Network {
-        Network { near: 0.0005, far: 0.015, loss: 0.0 }
+        Network { near: 0.0005, far: 0.015, loss: 0.0, connect: 0.0, pairs: Vec::new() }
+    }
+}
+
+impl Network {
+    /// Seconds one way between two zones, and the share of messages that are lost and sent again.
+    pub fn between(&self, from: u32, to: u32) -> (f64, f64) {
+        let pair = self.pairs.iter().find(|pair| pair.zones == [from, to] || pair.zones == [to, from]);
+        let usual = if from == to { self.near } else { self.far };
+        pair.map_or((usual, self.loss), |pair| (pair.way, pair.loss))
     }
 }
 
@@ -225,11 +285,13 @@
     pub refresh: f64,
     /// Sigma of the noise, in slots.
     pub noise: f64,
+    /// Workers tell how far running jobs are, so many seconds apart; 0: never.
+    pub progress: f64,
 }
 
 impl Default for Reports {
     fn default() -> Reports {
-        Reports { refresh: 1.0, noise: 0.1 }
+        Reports { refresh: 1.0, noise: 0.1, progress: 0.0 }
     }
 }
 
@@ -397,6 +459,31 @@
                 positive(&format!("class {:?}: {name}", class.name), value)?;
             }
         }
+        if self.clients.trace.windows(2).any(|pair| pair[0].at > pair[1].at) {
+            return Err("clients.trace: not in the order of its instants".into());
+        }
+        for (number, job) in self.clients.trace.iter().enumerate() {
+            let good = |value: f64| value.is_finite() && value > 0.0;
+            let known = (job.class as usize) < self.classes.len();
+            let came = job.at.is_finite() && job.at >= 0.0;
+            if !(known && came && good(job.work) && good(job.slots)) {
+                return Err(format!("clients.trace[{number}]: no such class, or a figure that is none"));
+            }
+        }
+        for (number, pair) in self.network.pairs.iter().enumerate() {
+            let known = pair.zones.iter().all(|&zone| zone < self.zones);
+            let good = pair.way.is_finite() && pair.way >= 0.0 && (0.0..=1.0).contains(&pair.loss);
+            if !(known && good) {
+                return Err(format!("network.pairs[{number}]: no such zone, or a figure that is none"));
+            }
+        }
+        for (name, value) in
+            [("network.connect", self.network.connect), ("reports.progress", self.reports.progress)]
+        {
+            if !value.is_finite() || value < 0.0 {
+                return Err(format!("{name}: {value} is not 0 or more"));
+            }
+        }
         for (number, fault) in self.faults.iter().enumerate() {
             let class = match fault.what {
                 Trouble::Silent(class) | Trouble::HeavyTail(class) => class,
@@ -478,6 +565,12 @@
 }
 
 impl Class {
+    /// A job of this class as an attempt offers it to a worker.
+    pub fn offered(&self, attempt: u64, of: &Arrival) -> Offered {
+        let Arrival { class, work, slots, .. } = *of;
+        Offered { attempt, class, work, slots, memory: self.memory, worth: self.worth }
+    }
+
     /// What may be repeated, in the module's form.
     pub fn effect(&self) -> Effect {
         match self.repeat {
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -20,7 +20,7 @@
 use crate::model::fleet::{Fleet, Turn, cold_budget};
 use crate::model::keys::{Keys, Repeat};
 use crate::model::wire::{Cut, Wire};
-use crate::model::worker::{self, Offer, Offered, Worker};
+use crate::model::worker::{self, Offer, Worker};
 use crate::outcome::{End, Outcome, Tally, of_workers};
 use crate::policy::{Kind, Policy, Truth};
 use crate::referee::{Heard, Referee};
@@ -30,6 +30,8 @@
 const MARGIN: Micros = 50_000;
 /// A connection that is not up by then has failed.
 const CONNECT: Micros = 250_000;
+/// An idle connection is closed after so long.
+const KEEPALIVE: Micros = 5 * SECOND;
 /// What a lost message costs.
 const RESENT: Micros = 200_000;
 /// How long a list that contradicts itself stays before the other one comes.
@@ -46,6 +48,7 @@
     Wake(u32, u64),
     Outcome(u64, Ended),
     Started(u64),
+    Progress(u64),
     /// For a scheduler in its so many-th life.
     Timer(u32, u32, Timer),
     Told(u32, RosterKind, Arc<Vec<WorkerEntry>>),
@@ -164,6 +167,8 @@
     discovery_down: u32,
     reports_late: Micros,
     wires: Vec<Wire>,
+    /// From when on each connection stands idle, by scheduler and worker.
+    connections: FxHashMap<(u32, u32), Vec<Micros>>,
     /// The whole list as it was when it began to contradict itself.
     contradicted: Option<Arc<Vec<WorkerEntry>>>,
     kind: Kind,
@@ -208,6 +213,7 @@
             discovery_down: 0,
             reports_late: 0,
             wires: vec![Wire::default(); scenario.workers.iter().map(|of| of.count as usize).sum()],
+            connections: FxHashMap::default(),
             contradicted: None,
             kind,
             seed,
@@ -258,10 +264,9 @@
 
     /// A message's way between two zones.
     fn way(&mut self, from: u32, to: u32) -> Micros {
-        let network = &self.scenario.network;
-        let mean = if from == to { network.near } else { network.far };
+        let (mean, loss) = self.scenario.network.between(from, to);
         let jitter: f64 = Exp1.sample(&mut self.network);
-        let lost = self.network.random::<f64>() < network.loss;
+        let lost = self.network.random::<f64>() < loss;
         micros(mean * (0.9 + 0.1 * jitter)) + if lost { RESENT } else { 0 }
     }
 
@@ -341,6 +346,7 @@
                     Event::Progress { request: RequestId(request), attempt: number, progress },
                 );
             }
+            Ev::Progress(attempt) => self.progress(attempt),
             Ev::Timer(scheduler, life, timer) => {
                 if self.schedulers[scheduler as usize].life == life {
                     self.tell(scheduler, Event::Timer(timer));
@@ -586,10 +592,30 @@
         self.attempts_sent += 1;
         let (from, to) = (self.schedulers[scheduler as usize].zone, self.workers[worker as usize].1);
         self.crossed += u64::from(from != to);
-        let way = self.way(from, to);
+        let way = self.way(from, to) + self.connection(scheduler, worker);
         self.at(self.now + way, Ev::AtWorker(id));
     }
 
+    /// What a hand-over waits for its connection: nothing where one stands idle. It is taken until the
+    /// worker has answered, reckoned at two ways.
+    fn connection(&mut self, scheduler: u32, worker: u32) -> Micros {
+        let cost = micros(self.scenario.network.connect);
+        if cost == 0 {
+            return 0;
+        }
+        let (from, to) = (self.schedulers[scheduler as usize].zone, self.workers[worker as usize].1);
+        let there_and_back = 2 * micros(self.scenario.network.between(from, to).0);
+        let (now, idle) = (self.now, self.connections.entry((scheduler, worker)).or_default());
+        idle.retain(|&free| free + KEEPALIVE > now);
+        let kept = idle.iter().position(|&free| free <= now);
+        if let Some(at) = kept {
+            idle.swap_remove(at);
+        }
+        let wait = if kept.is_some() { 0 } else { cost };
+        idle.push(now + wait + there_and_back);
+        wait
+    }
+
     /// An attempt's end reaches its scheduler, unless that no longer waits for it.
     fn end_attempt(&mut self, id: u64, outcome: Ended) {
         let Some(of) = self.attempts.get_mut(&id).filter(|of| of.out) else { return };
@@ -685,8 +711,7 @@
                 }
             }
         }
-        let Arrival { class, work, slots, .. } = of_job;
-        let offered = Offered { attempt: id, class, work, slots };
+        let offered = class.offered(id, &of_job);
         let mut effects = Vec::new();
         match self.workers[worker as usize].0.offer(self.now, offered, &mut effects) {
             Offer::Taken => {
@@ -731,6 +756,10 @@
                         for _ in 0..1 + u32::from(wire.doubled) {
                             self.at(self.now + way, Ev::Started(id));
                         }
+                        let every = micros(self.scenario.reports.progress);
+                        if every > 0 {
+                            self.at(self.now + every, Ev::Progress(id));
+                        }
                     }
                 }
                 worker::Effect::Done { attempt, told } => {
@@ -773,6 +802,18 @@
         }
     }
 
+    /// A worker tells how far a job is, and will tell again.
+    fn progress(&mut self, id: u64) {
+        let Some(of) = self.attempts.get(&id).filter(|of| of.out) else { return };
+        let (worker, request, number) = (of.worker, of.request, of.number);
+        let Some(share) = self.workers[worker as usize].0.progress(self.now, id) else { return };
+        let Some(scheduler) = self.flows.get(&request).map(|flow| flow.scheduler) else { return };
+        // Without a way: the next word comes much later than this one.
+        let progress = Progress::Done(share);
+        self.tell(scheduler, Event::Progress { request: RequestId(request), attempt: number, progress });
+        self.at(self.now + micros(self.scenario.reports.progress), Ev::Progress(id));
+    }
+
     /// The repeats that were dropped for an attempt hear what became of it.
     fn tell_dropped(&mut self, of: u64, outcome: Ended) {
         let Some(job) = self.attempts.get(&of).map(|of| of.job) else { return };
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -8,7 +8,7 @@
 use copperspread_lab::policy::Kind;
 use copperspread_lab::referee::{Heard, Referee, Rule};
 use copperspread_lab::report::html;
-use copperspread_lab::scenario::Scenario;
+use copperspread_lab::scenario::{Pair, Recorded, Scenario};
 use copperspread_lab::sim::play;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -213,6 +213,7 @@
         speed: 1.0,
         queue: 2,
         order: Order::Fifo,
+        memory: 100.0,
         cold_from: 0.25,
         cold_for: 20 * SECOND,
         fall_multiple: 2.0,
@@ -221,7 +222,7 @@
 }
 
 fn job(attempt: u64, work: f64) -> Offered {
-    Offered { attempt, class: 0, work, slots: 1.0 }
+    Offered { attempt, class: 0, work, slots: 1.0, memory: 0.0, worth: 1.0 }
 }
 
 #[test]
@@ -295,6 +296,74 @@
     assert_eq!((effects.len(), away.offer(0, job(2, 1.0), &mut effects)), (0, Offer::Vanished));
 }
 
+// Two slots that are taken, and three that wait; what starts when one ends.
+#[test]
+fn the_order_and_the_memory_say_what_starts_next() {
+    type Waiting = [(f64, f64, f64); 3];
+    let cases: &[(Order, Waiting, u64)] = &[
+        // Slots, memory and worth of those that wait, and which of them starts first.
+        (Order::Fifo, [(1.0, 0.0, 1.0), (1.0, 0.0, 9.0), (1.0, 0.0, 5.0)], 10),
+        (Order::Priority, [(1.0, 0.0, 1.0), (1.0, 0.0, 9.0), (1.0, 0.0, 5.0)], 11),
+        (Order::Priority, [(1.0, 0.0, 9.0), (1.0, 0.0, 9.0), (1.0, 0.0, 5.0)], 10),
+        (Order::Backfill, [(2.0, 0.0, 9.0), (1.0, 0.0, 1.0), (1.0, 0.0, 5.0)], 11),
+        // The first does not fit by its memory.
+        (Order::Backfill, [(1.0, 80.0, 9.0), (1.0, 30.0, 1.0), (1.0, 0.0, 5.0)], 11),
+        // Nothing goes past one that waits for its turn.
+        (Order::Fifo, [(1.0, 80.0, 1.0), (1.0, 0.0, 9.0), (1.0, 0.0, 5.0)], 0),
+        (Order::Priority, [(1.0, 0.0, 1.0), (2.0, 0.0, 9.0), (1.0, 0.0, 5.0)], 0),
+    ];
+    for (order, waiting, starts) in cases {
+        let mut worker = Worker::new(Build { queue: 3, order: *order, ..build() });
+        let mut effects = Vec::new();
+        worker.offer(0, Offered { memory: 40.0, ..job(1, 1.0) }, &mut effects);
+        worker.offer(0, Offered { memory: 40.0, ..job(2, 9.0) }, &mut effects);
+        for (number, &(slots, memory, worth)) in waiting.iter().enumerate() {
+            let of = Offered { slots, memory, worth, ..job(10 + number as u64, 1.0) };
+            assert_eq!(worker.offer(0, of, &mut effects), Offer::Taken);
+        }
+        effects.clear();
+        worker.advance(SECOND, &mut effects);
+        let started =
+            effects.iter().find_map(|of| if let Effect::Started(id) = of { Some(*id) } else { None });
+        assert_eq!(started.unwrap_or_default(), *starts, "{order:?} {waiting:?}: {effects:?}");
+    }
+}
+
+#[test]
+fn ways_connections_progress_and_traces_are_played() {
+    let base = harsh(20.0, "");
+    let mean = |scenario: &Scenario| {
+        let outcome = play(scenario, Kind::RoundRobin, 3).expect("it plays");
+        assert!(outcome.breaches.is_empty(), "{:?}", outcome.examples);
+        outcome.classes.iter().map(|class| class.mean_ms).sum::<f64>() / outcome.classes.len() as f64
+    };
+    let usual = mean(&base);
+    let mut far = base.clone();
+    far.network.pairs = vec![Pair { zones: [0, 1], way: 0.2, loss: 0.0 }];
+    // Two of nine pairs of zones, there and back.
+    let slower = mean(&far) - usual;
+    assert!((60.0..130.0).contains(&slower), "{slower} ms");
+    let mut costly = base.clone();
+    costly.network.connect = 0.1;
+    let slower = mean(&costly) - usual;
+    // Jobs of one scheduler come to one worker 0.74 times a second, so that a connection has been idle
+    // for over 5 s in one of 40 of them, and then costs 100 ms.
+    assert!((1.5..4.0).contains(&slower), "{slower} ms");
+    let mut telling = base.clone();
+    telling.reports.progress = 0.1;
+    let outcome = play(&telling, Kind::Copperspread, 3).expect("it plays");
+    let silent = play(&base, Kind::Copperspread, 3).expect("it plays");
+    assert!(outcome.events > silent.events + 1_000 && outcome.breaches.is_empty());
+    let mut traced = base.clone();
+    let job = |at: f64, class, work| Recorded { at, class, work, slots: 1.0, hint: None };
+    traced.clients.trace = vec![job(0.5, 0, 0.2), job(0.6, 2, 0.4), job(900.0, 0, 1.0)];
+    let arrivals: Vec<_> = Arrivals::new(&traced, 3).map(|of| (of.at, of.class, of.work)).collect();
+    assert_eq!(arrivals, [(500_000, 0, 0.2), (600_000, 2, 0.4)], "what comes after the end does not");
+    assert_eq!(play(&traced, Kind::Copperspread, 3).expect("it plays").jobs, 2);
+    traced.clients.trace.reverse();
+    assert_eq!(traced.check().expect_err("an order"), "clients.trace: not in the order of its instants");
+}
+
 #[test]
 fn a_report_stands_alone_and_shows_what_the_table_says() {
     let scenario = harsh(40.0, ALL);
