Let a large fleet use its cold workers: load from the list, budget by rendezvous

Also changed, on less evidence: a cold worker is estimated at its likely share (jobs alone there took 3.3 times as long at first, 1.8 times after 12 s), and the stretch of the aim is a multiple of the job's own work.

Now the list's live size tells what a cold worker holds (WIRE: the size, divided by 1 and the jobs held a core; of the lags tried, 1.0 s fits best what the records show; renewed every 0.9 s). A cold worker's budget is shared among the first few schedulers by rendezvous hash, each part four usual jobs; half of the budget is given out, a part at most twice within a window, as far as schedulers learn alike.

--- a/crates/config/src/start.rs
+++ b/crates/config/src/start.rs
@@ -108,6 +108,7 @@
                             State::Draining => Phase::Draining,
                         },
                         started_at: None,
+                        size: None,
                     })
                 };
                 let members = self.workers.iter().map(member).collect::<Result<_, String>>()?;
--- a/crates/copperspread/src/cli.rs
+++ b/crates/copperspread/src/cli.rs
@@ -1,5 +1,4 @@
 //! The command line.
-#[cfg(feature = "standalone")]
 use std::path::PathBuf;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -90,6 +89,9 @@
     #[cfg(feature = "toy")]
     #[arg(long)]
     toy: bool,
+    /// Keep records in a file, or `-` on standard error, whatever the configuration says
+    #[arg(long, value_name = "FILE")]
+    records: Option<PathBuf>,
 }
 
 #[cfg(feature = "standalone")]
@@ -154,11 +156,12 @@
             flags: asked.layers.set.clone(),
             seed: fastrand::u64(..),
         };
-        return serve::run(&origin, asked.toy);
+        return serve::run(&origin, asked.toy, asked.records.as_deref());
     }
     #[cfg(feature = "toy")]
     let toy = asked.toy;
     #[cfg(not(feature = "toy"))]
-    let (toy, _) = (false, asked);
-    serve::run(&Origin::of_platform().ok_or("EDGE_CONFIG names no configuration")?, toy)
+    let toy = false;
+    let origin = Origin::of_platform().ok_or("EDGE_CONFIG names no configuration")?;
+    serve::run(&origin, toy, asked.records.as_deref())
 }
--- a/crates/copperspread/src/serve.rs
+++ b/crates/copperspread/src/serve.rs
@@ -1,5 +1,6 @@
 //! One scheduler: starts, serves until SIGTERM, answers what it has taken and ends. On SIGHUP it reads
 //! its configuration again.
+use std::path::Path;
 use std::sync::Arc;
 
 use copperspread_decisions::{Dispatcher, Micros};
@@ -24,6 +25,10 @@
 
 /// A file that is read again has not changed for this long.
 const SETTLE: Micros = 50_000;
+/// Records asked for on the command line: the size in bytes at which their file is put aside, and how
+/// many may wait. As the configuration's own defaults.
+const ASKED_MOST: u64 = 64 << 20;
+const ASKED_QUEUE: usize = 8_192;
 /// Where the program tells its source that the configuration names another list.
 enum Moving {
     Targets(watch::Sender<Authority>),
@@ -164,10 +169,16 @@
 ///
 /// # Errors
 /// A configuration that cannot be used, or an address that cannot be listened on.
-pub fn run(origin: &Origin, toy: bool) -> Result<(), String> {
+pub fn run(origin: &Origin, toy: bool, records: Option<&Path>) -> Result<(), String> {
     let told = origin.read()?;
     let log = logging::begin(&told.log)?;
-    let (recorder, writer) = match told.records.clone() {
+    let asked = records.map(|file| writer::Spec {
+        file: file.to_owned(),
+        rotate_at: ASKED_MOST,
+        keep: 1,
+        queue: ASKED_QUEUE,
+    });
+    let (recorder, writer) = match asked.or_else(|| told.records.clone()) {
         None => (Recorder::off(), None),
         Some(spec) => {
             let name = spec.file.display().to_string();
--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -43,6 +43,14 @@
 const SLOTS_UP: f64 = 0.6;
 /// Weight when it shows fewer, so that one noisy report does not stand for good.
 const SLOTS_DOWN: f64 = 0.002;
+/// Most that a listed size tells of what a worker holds, in times its slots.
+const HELD_MOST: f64 = 8.0;
+/// Weight of one list in what a worker usually holds: about the last three count.
+const LISTED_GAIN: f64 = 0.35;
+/// Age of what a list tells when it comes, in seconds.
+const LISTED_AGE: f64 = 0.9;
+/// ... and it fades toward what the worker usually holds in this time, about two typical jobs.
+const LISTED_FADE: f64 = 1.0;
 /// Attempts of a request while all are turned away; as many more as fewer are.
 const FULL_TRIES: f64 = 1.5;
 /// A worker that turned a job away unseen holds at least this many times its slots.
@@ -82,11 +90,14 @@
 /// Makes a hyperbola follow the mean of a normal figure's part above 0: both agree at a mean of 0,
 /// where it is 0.4 standard deviations, and far from it.
 const SPREAD: f64 = 0.64;
-/// Share of a cold worker's budget that is aimed at. With jobs of up to a fifth of the budget, chance
-/// then goes beyond the whole of it less than once in a thousand windows (three deviations).
-const COLD_AIM: f64 = 0.3;
-/// A single job may take at most this share of a cold worker's whole budget of a window.
-const COLD_HEAVY: f64 = 0.2;
+/// Share of a cold worker's budget that all may use. What one sends fades over a window, so that within
+/// one it can send its part twice at the most.
+const COLD_AIM: f64 = 0.5;
+/// A dispatcher's part of a budget holds so many usual jobs, or all of it where that is less.
+const COLD_JOBS: f64 = 4.0;
+/// A cold worker is taken to have its least share to this power: the least holds for the worst of all
+/// kinds and days, and half of what it lacks, on a logarithmic scale, is made up by the usual one.
+const COLD_LIKELY: f64 = 0.5;
 /// Shortest believable job: keeps the typical job time, by which is divided, above 0.
 const SHORTEST_JOB: Micros = 1_000;
 /// Longest believable hint, in seconds; beyond it counts as absent.
@@ -170,6 +181,8 @@
     util: f64,
     /// Share of attempts turned away unseen.
     full: f64,
+    /// Largest size listed: one of an idle worker.
+    size: f64,
 }
 
 impl Pool {
@@ -197,9 +210,17 @@
     /// Slots of the other dispatchers' jobs here by the last report, and when it came.
     others: f64,
     others_at: Option<Micros>,
+    /// Slots taken here by all by the last list that told its size, on average over the lists, and when
+    /// the last came.
+    listed: f64,
+    listed_mean: f64,
+    listed_at: Option<Micros>,
     /// Work sent here while cold, decaying over the window of the budget.
     cold_sent: f64,
     cold_at: Micros,
+    /// The same at every dispatcher; and this one's place among them there (see `cold_place`).
+    key: u64,
+    place: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -436,6 +457,30 @@
         for entry in roster.entries {
             self.enter(now, entry);
         }
+        if self.settings.live_sizes {
+            for entry in roster.entries {
+                self.learn_listed(now, entry);
+            }
+        }
+    }
+
+    /// Takes what a listed size tells: all that the worker holds, known to nobody else so soon.
+    fn learn_listed(&mut self, now: Micros, entry: &WorkerEntry) {
+        let index = entry.worker.0 as usize;
+        let Some(size) = sane(entry.size, MAX_UNITS) else { return };
+        let Some(worker) = self.workers.get(index) else { return };
+        let own = &mut self.kinds[worker.kind as usize].size;
+        *own = own.max(size);
+        if entry.state != WorkerState::Ready {
+            return;
+        }
+        let held = (*own / size - 1.0).min(HELD_MOST);
+        let slots = self.slots_of(&self.workers[index]);
+        let worker = &mut self.workers[index];
+        worker.listed = held * slots * self.mean_slots;
+        let gain = if worker.listed_at.is_some() { LISTED_GAIN } else { 1.0 };
+        worker.listed_mean += (worker.listed - worker.listed_mean) * gain;
+        worker.listed_at = Some(now);
     }
 
     fn enter(&mut self, now: Micros, entry: &WorkerEntry) {
@@ -467,8 +512,13 @@
                 class_faults: vec![0.0; self.settings.classes.len()],
                 others: 0.0,
                 others_at: None,
+                listed: 0.0,
+                listed_mean: 0.0,
+                listed_at: None,
                 cold_sent: 0.0,
                 cold_at: 0,
+                key: 0,
+                place: None,
             });
         }
         let worker = &mut self.workers[index];
@@ -478,6 +528,10 @@
             worker.faults = 0.0;
             worker.class_faults.fill(0.0);
             worker.others_at = None;
+            worker.listed_at = None;
+        }
+        if entry.key != worker.key {
+            (worker.key, worker.place) = (entry.key, None);
         }
         worker.state = entry.state;
         worker.zone = entry.zone;
@@ -505,7 +559,8 @@
     }
 
     fn learn_rate(&mut self, now: Micros, index: usize, work: f64, took: f64) {
-        let sample = work / took;
+        // What a cold worker shows is a share of what it will do.
+        let sample = work / (took * self.likely(now, &self.workers[index]));
         if !(sample >= RATE_BOUNDS.0 && sample <= RATE_BOUNDS.1) {
             return;
         }
@@ -626,6 +681,15 @@
     /// Slots that the other dispatchers' jobs take at a worker: the last report, fading to the
     /// mean of its kind as it ages, and how uncertain that is (a variance).
     fn others(&self, now: Micros, worker: &Worker, slots: f64) -> (f64, f64) {
+        // Guards against cold workers that pass for as crowded as the warm ones and stay idle. Not for
+        // warm ones: all who read one list would meet at those it shows idle.
+        if let Some(at) = worker.listed_at.filter(|_| self.is_cold(now, worker)) {
+            let age = LISTED_AGE + secs(now.saturating_sub(at));
+            let fresh = (-age / LISTED_FADE).exp();
+            let all = worker.listed_mean + (worker.listed - worker.listed_mean) * fresh;
+            let part = 1.0 / f64::from(self.settings.fleet_size);
+            return (all * (1.0 - part), all * (1.0 - fresh * fresh));
+        }
         // Guards against a crowded zone that keeps its crowd while its kinds look usual elsewhere.
         let skew = self.kinds[worker.kind as usize].skew.ratio() * self.zones[worker.zone as usize].ratio();
         let mean = self.busy * skew * slots;
@@ -662,7 +726,7 @@
     /// knows its own and expects the others', so that it does not crowd onto one quick worker
     /// together with its peers; the excess over the slots is a mean over what they may hold.
     fn estimate(&self, now: Micros, worker: &Worker, job: &Request) -> (f64, f64) {
-        let alone = job.work / worker.service_rate;
+        let alone = job.work / (worker.service_rate * self.likely(now, worker));
         let slots = self.slots_of(worker);
         let (others, variance) = self.others(now, worker, slots);
         let over = worker.own_slots + job.slots + others - slots;
@@ -679,10 +743,10 @@
         (1.0 - faults.min(FAULT_CAP)) * (1.0 - kind.full.min(FAULT_CAP))
     }
 
-    /// Time left at a worker until the aim, which grows with the job's own time there.
-    fn time_left(&self, now: Micros, worker: &Worker, job: &Request) -> f64 {
+    /// Time left until the aim, which grows with the job's own work.
+    fn time_left(&self, now: Micros, job: &Request) -> f64 {
         let stretch = self.settings.classes[job.class].stretch;
-        let aim = secs(job.aim_at) + stretch * (job.work / worker.service_rate);
+        let aim = secs(job.aim_at) + stretch * job.work;
         aim.min(secs(job.deadline)) - secs(now)
     }
 
@@ -735,7 +799,7 @@
                 continue;
             }
             let tied = best.is_some_and(|(_, lowest, _)| rank == lowest);
-            if self.is_cold(now, index) && !self.cold_admits(now, index, job) {
+            if self.is_cold(now, worker) && !self.cold_admits(now, index, job) {
                 continue;
             }
             ties = if tied { ties + 1 } else { 1 };
@@ -744,46 +808,63 @@
             }
         }
         let (index, _, estimate) = best.ok_or((SWEEP, Refusal::NoWorker))?;
-        let excess = estimate - self.time_left(now, &self.workers[index], job);
+        let excess = estimate - self.time_left(now, job);
         if excess <= 0.0 { Ok(index) } else { Err((span(excess), Refusal::Late(span(excess)))) }
     }
 
     // ---- Cold workers ----------------------------------------------------------------------
 
-    fn is_cold(&self, now: Micros, index: usize) -> bool {
-        let started = self.workers[index].started_at;
-        started.is_some_and(|t| now < t.saturating_add(self.settings.cold_for))
+    fn is_cold(&self, now: Micros, worker: &Worker) -> bool {
+        worker.started_at.is_some_and(|t| now < t.saturating_add(self.settings.cold_for))
+    }
+
+    /// The share of its capacity that a worker has by now at the least, 1 once it is warm.
+    fn present(&self, now: Micros, worker: &Worker) -> f64 {
+        let Some(started) = worker.started_at else { return 1.0 };
+        let s = &self.settings;
+        let warm = (secs(now.saturating_sub(started)) / secs(s.cold_for.max(1))).min(1.0);
+        s.cold_from + (1.0 - s.cold_from) * warm
+    }
+
+    /// The share that it is likely to have. A job there runs as much slower.
+    fn likely(&self, now: Micros, worker: &Worker) -> f64 {
+        if self.is_cold(now, worker) { self.present(now, worker).powf(COLD_LIKELY) } else { 1.0 }
+    }
+
+    /// This dispatcher's place among all for a worker, from 0, by rendezvous: each pair of the two has
+    /// a random figure that all can compute, and the lowest comes first.
+    fn cold_place(&mut self, index: usize) -> u32 {
+        if let Some(place) = self.workers[index].place {
+            return place;
+        }
+        let fleet = self.settings.fleet_size;
+        let key = self.workers[index].key;
+        let figure = |number: u32| fastrand::Rng::with_seed(key ^ (u64::from(number) << 32)).u64(..);
+        let place = match self.settings.number.filter(|&own| own < fleet) {
+            Some(own) => (0..fleet).filter(|&other| figure(other) < figure(own)).count() as u32,
+            // Not told its number: a place at random, as often shared as left out.
+            None => self.rng.u32(0..fleet),
+        };
+        self.workers[index].place = Some(place);
+        place
     }
 
-    /// Whether a cold worker may get this job. All dispatchers together must stay inside the
-    /// worker's budget and none knows of the others, so each admits at random as many of its jobs
-    /// as its own part of the present capacity holds.
+    /// Whether a cold worker may get this job. All dispatchers together must stay inside the worker's
+    /// budget and none knows of the others. So as many of them share it as leaves each a part that
+    /// holds a few jobs, in the order of their places, and none sends more than its part.
+    /// Guards against a part of each that is smaller than any job, with which a large fleet sends
+    /// nothing, and against chance, which with small jobs of many goes beyond any budget.
     fn cold_admits(&mut self, now: Micros, index: usize, job: &Request) -> bool {
+        let place = self.cold_place(index);
         let s = &self.settings;
         let worker = &self.workers[index];
-        let age = secs(now.saturating_sub(worker.started_at.unwrap_or(0)));
-        let warm = (age / secs(s.cold_for.max(1))).min(1.0);
-        let present = s.cold_from + (1.0 - s.cold_from) * warm;
         let slots = self.kinds[worker.kind as usize].slots.unwrap_or(1.0);
-        let capacity = present * slots * worker.service_rate;
-        let budget = s.fall_multiple * capacity * secs(s.fall_window);
-        let load = job.work * job.slots;
-        // Guards against one heavy job that spends the budget of the whole window at once.
-        if load > COLD_HEAVY * budget {
-            return false;
-        }
-        let part = 1.0 / f64::from(s.fleet_size);
-        let faded =
-            worker.cold_sent * (-secs(now.saturating_sub(worker.cold_at)) / secs(s.fall_window.max(1))).exp();
-        if faded > 0.0 && faded + load > 2.0 * COLD_AIM * budget * part {
-            return false;
-        }
-        // Work offered to this dispatcher a second; right after a start it looks high, which
-        // errs on the safe side.
-        let up = secs(now.saturating_sub(self.started_at.unwrap_or(now))).max(1e-3);
-        let offered = self.offered / up;
-        let admit = COLD_AIM * s.fall_multiple * capacity * part / offered.max(1e-9);
-        self.rng.f64() < admit
+        let capacity = self.present(now, worker) * slots * worker.service_rate;
+        let window = secs(s.fall_window.max(1));
+        let aim = COLD_AIM * s.fall_multiple * capacity * window;
+        let sharers = (aim / (COLD_JOBS * self.mean_load)).clamp(1.0, f64::from(s.fleet_size)).floor();
+        let sent = worker.cold_sent * (-secs(now.saturating_sub(worker.cold_at)) / window).exp();
+        f64::from(place) < sharers && sent + job.work * job.slots <= aim / sharers
     }
 
     // ---- Requests --------------------------------------------------------------------------
@@ -881,7 +962,7 @@
         index: usize,
         actions: &mut Vec<Action>,
     ) {
-        let cold = self.is_cold(now, index);
+        let cold = self.is_cold(now, &self.workers[index]);
         let slots = self.slots_of(&self.workers[index]);
         let (estimate, _) = self.estimate(now, &self.workers[index], request);
         let window = secs(self.settings.fall_window.max(1));
@@ -907,7 +988,7 @@
         actions.push(Action::Send { request: id, worker, estimate });
         if self.settings.tells_start && self.may_copy(now, request) {
             let worker = &self.workers[index];
-            let slack = self.time_left(now, worker, request) - request.work / worker.service_rate;
+            let slack = self.time_left(now, request) - request.work / worker.service_rate;
             let after = span(slack * COPY_AFTER).max(COPY_LEAST);
             actions.push(Action::Wake { after, timer: Timer::Check(id) });
         }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -94,6 +94,8 @@
 pub struct Settings {
     /// How many dispatchers share the workers, this one included.
     pub fleet_size: u32,
+    /// This dispatcher's number among them, from 0, where it is told one.
+    pub number: Option<u32>,
     /// This dispatcher's zone.
     pub zone: u32,
     /// The classes of jobs, by index.
@@ -126,12 +128,15 @@
     pub tells_start: bool,
     /// Price of sending an attempt to another zone, as worth lost for each first try.
     pub price_cross_zone: f64,
+    /// A listed size is the worker's own, divided by 1 and the jobs it held a core some time before.
+    pub live_sizes: bool,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Settings {
             fleet_size: 1,
+            number: None,
             zone: 0,
             classes: Vec::new(),
             tenants: Vec::new(),
@@ -148,6 +153,7 @@
             may_cancel: false,
             tells_start: false,
             price_cross_zone: 0.0,
+            live_sizes: false,
         }
     }
 }
@@ -190,6 +196,12 @@
     pub state: WorkerState,
     /// When it last started; `None` is long ago.
     pub started_at: Option<Micros>,
+    /// A figure that is the same for this worker at every dispatcher and unlike other workers', such as
+    /// a hash of its name.
+    pub key: u64,
+    /// Its size as listed: a figure to set against other workers' (see [`Settings::live_sizes`]).
+    /// Taken for absent where it is not a finite figure above 0.
+    pub size: Option<f64>,
 }
 
 /// What a roster event holds.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -19,7 +19,7 @@
 //! // Discovery names one worker.
 //! let worker = WorkerEntry {
 //!     worker: WorkerId(0), zone: 0, kind: 0, cell: 0,
-//!     state: WorkerState::Ready, started_at: None,
+//!     state: WorkerState::Ready, started_at: None, size: None, key: 0,
 //! };
 //! let roster = Roster { kind: RosterKind::Full, version: 1, entries: &[worker] };
 //! dispatcher.handle(0, Event::Roster(roster), &mut actions);
--- a/crates/decisions/tests/cold.rs
+++ b/crates/decisions/tests/cold.rs
@@ -4,26 +4,45 @@
 use copperspread_decisions::*;
 
 /// Plays a fleet of dispatchers for some seconds after a worker's start and returns the largest
-/// work sent to it within any window, as a share of the budget of its first moment.
+/// work sent to it within any window, as a share of the budget of the window's first moment.
 fn worst_window(fleet: u32, seed: u64, restarted_dispatchers: bool, heavy: bool) -> f64 {
-    let settings = Settings { fleet_size: fleet, ..settings(Effect::Unsafe) };
+    play(fleet, seed, restarted_dispatchers, heavy, false).0
+}
+
+/// The same, and all work sent to it as a share of the budget at its start; where it is listed, all read what it
+/// held a second before, renewed every 0.9 s.
+fn play(fleet: u32, seed: u64, restarted_dispatchers: bool, heavy: bool, listed: bool) -> (f64, f64) {
+    let settings = Settings { fleet_size: fleet, live_sizes: listed, ..settings(Effect::Unsafe) };
     let warm: Vec<_> = (0..8).map(entry).collect();
-    let idle = Some(Report { queue: Some(0.0), free_slots: Some(2.0), ..Report::default() });
-    let start = 100 * SECOND;
+    // The warm ones have queues, so that a cold one is welcome.
+    let crowded = |at: u64| {
+        let (queue, free) = if at == 0 { (0.0, 2.0) } else { (0.0, 0.5) };
+        Some(Report { queue: Some(queue), free_slots: Some(free), ..Report::default() })
+    };
+    // Long after the dispatchers' start, as what is offered a second counts from there.
+    let start = 200 * SECOND;
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut all = warm.clone();
     all[0].started_at = Some(start);
     let mut nodes: Vec<_> = (0..fleet)
         .map(|me| {
-            let mut node = Node::seeded(settings.clone(), &warm, seed * 1000 + u64::from(me));
+            let mut node = Node::seeded(
+                Settings { number: Some(me), ..settings.clone() },
+                &warm,
+                seed * 1000 + u64::from(me),
+            );
             node.now = start - 60 * SECOND;
             if !restarted_dispatchers {
                 for i in 0..30 {
-                    node.run(1_000_000 + i, 0.5, 0.5, idle);
+                    node.run(1_000_000 + i, 0.5, 0.5, crowded(i));
                     node.now += SECOND;
                 }
             }
             node.now = start;
+            if listed {
+                // Nobody else takes work: whatever is let through goes to the cold one.
+                all.iter_mut().skip(1).for_each(|of| of.state = WorkerState::Draining);
+            }
             node.roster(RosterKind::Full, &all);
             node
         })
@@ -31,9 +50,29 @@
     let window = settings.fall_window;
     let mut sends: Vec<(Micros, f64)> = Vec::new();
     // About as much as eight workers of two slots can do, over all dispatchers.
-    let steps = 8 * 2 * 2 * 6;
+    // In the large fleet each gets three jobs a second.
+    let steps = if listed { 3 * 6 * u64::from(fleet) } else { 8 * 2 * 2 * 6 };
+    let mut next_list = start + 900 * MS;
     for step in 0..steps {
         let now = start + step * 6 * SECOND / steps;
+        if listed && now >= next_list {
+            next_list += 900 * MS;
+            // It serves what it is sent at the capacity of its first moment.
+            let mut held: f64 = 0.0;
+            let mut at = start;
+            for &(sent, work) in sends.iter().filter(|of| of.0 + SECOND < now) {
+                held = (held - settings.cold_from * 2.0 * (sent - at) as f64 / SECOND as f64).max(0.0) + work;
+                at = sent;
+            }
+            let mut entries = all.clone();
+            entries[0].size = Some(4.0 / (1.0 + held / 0.5 / 2.0));
+            // One that drains holds nothing any more: so large is an idle one.
+            entries[1].size = Some(4.0);
+            for node in &mut nodes {
+                node.now = now;
+                node.roster(RosterKind::Changes, &entries);
+            }
+        }
         let node = &mut nodes[rng.usize(0..fleet as usize)];
         node.now = now;
         let work = if heavy { 0.1 - rng.f64().max(1e-6).ln() * 0.4 } else { 0.5 };
@@ -44,12 +83,34 @@
     }
     let capacity = settings.cold_from * 2.0;
     let budget = settings.fall_multiple * capacity * window as f64 / SECOND as f64;
-    (0..sends.len())
+    let grown = |at: Micros| {
+        let warm = (at - start) as f64 / settings.cold_for as f64;
+        (settings.cold_from + (1.0 - settings.cold_from) * warm) / settings.cold_from
+    };
+    let worst = (0..sends.len())
         .map(|i| {
             let within = sends[i..].iter().take_while(|s| s.0 < sends[i].0 + window);
-            within.map(|s| s.1).sum::<f64>() / budget
+            within.map(|s| s.1).sum::<f64>() / (budget * grown(sends[i].0))
         })
-        .fold(0.0, f64::max)
+        .fold(0.0, f64::max);
+    (worst, sends.iter().map(|s| s.1).sum::<f64>() / budget)
+}
+
+/// Guards against a part of the budget that is smaller than any job: each of many dispatchers sent one
+/// job and then none, and a replaced fleet stayed cold. And against those that all send on one word.
+#[test]
+fn a_large_fleet_that_is_told_what_a_cold_worker_holds_sends_it_more_and_stays_inside_the_budget() {
+    for fleet in [40, 100, 200] {
+        let mut told = 0.0;
+        for heavy in [false, true] {
+            for seed in 0..10 {
+                let (worst, all) = play(fleet, seed, false, heavy, true);
+                assert!(worst < 1.0, "{fleet} dispatchers, heavy {heavy}, seed {seed}: {worst}");
+                told += all / 20.0;
+            }
+        }
+        assert!(told > 0.2, "{fleet} dispatchers: {told} of the budget in two windows");
+    }
 }
 
 #[test]
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -30,6 +30,8 @@
         cell: worker / 2,
         state: WorkerState::Ready,
         started_at: None,
+        size: None,
+        key: worker.into(),
     }
 }
 
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -4,6 +4,7 @@
 
 use copperspread_decisions::*;
 use copperspread_settings::json::{self, micros};
+use copperspread_settings::name_key;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -58,6 +59,7 @@
     #[serde(borrow)]
     status: Cow<'a, str>,
     online_since_s: Option<f64>,
+    nominal: Option<f64>,
 }
 
 /// A load report.
@@ -262,6 +264,8 @@
                     status => return Err(Failure::Bad(format!("unknown status {status:?}"))),
                 },
                 started_at: entry.online_since_s.map(micros).filter(|&at| at > 0),
+                size: entry.nominal,
+                key: name_key(&entry.executor),
             });
         }
         let version = match kind {
--- a/crates/lab/benches/decisions.rs
+++ b/crates/lab/benches/decisions.rs
@@ -11,7 +11,16 @@
 
 fn entry(worker: u32) -> WorkerEntry {
     let (zone, state) = (worker % 3, WorkerState::Ready);
-    WorkerEntry { worker: WorkerId(worker), zone, kind: worker % 3, cell: zone, state, started_at: None }
+    WorkerEntry {
+        worker: WorkerId(worker),
+        zone,
+        kind: worker % 3,
+        cell: zone,
+        state,
+        started_at: None,
+        size: None,
+        key: worker.into(),
+    }
 }
 
 fn dispatcher(workers: u32) -> Dispatcher {
--- a/crates/lab/src/emulate/program.rs
+++ b/crates/lab/src/emulate/program.rs
@@ -97,7 +97,7 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "seed": format!("{:016x}", seed.wrapping_add(u64::from(scheduler) * 7919)),
         "settings": {
-            "fleet_size": scenario.schedulers, "zone": scheduler % scenario.zones, "zones": zones,
+            "fleet_size": scenario.schedulers, "me": scheduler, "zone": scheduler % scenario.zones, "zones": zones,
             "kinds": kinds, "classes": classes, "discovery": "pushed", "worth_by": "work",
             "family_info": {"class_stretch": stretches, "tells_start": true},
             "permissions": {
--- a/crates/lab/src/emulate/stage.rs
+++ b/crates/lab/src/emulate/stage.rs
@@ -234,8 +234,16 @@
         Life::Dead | Life::Vanished => WorkerState::Gone,
     };
     let kind = world.kinds[worker as usize];
-    let worker = WorkerId(worker);
-    WorkerEntry { worker, zone: *zone, kind, cell: *zone, state, started_at: of.started_at }
+    WorkerEntry {
+        worker: WorkerId(worker),
+        zone: *zone,
+        kind,
+        cell: *zone,
+        state,
+        started_at: of.started_at,
+        key: worker.into(),
+        size: None,
+    }
 }
 
 /// A load report as an object.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -537,6 +537,7 @@
         };
         Settings {
             fleet_size: self.schedulers,
+            number: Some(scheduler),
             zone: scheduler % self.zones,
             classes: self.classes.iter().map(class).collect(),
             worth_by_work: true,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -283,6 +283,8 @@
                 worker::Life::Dead | worker::Life::Vanished => WorkerState::Gone,
             },
             started_at: worker.started_at.map(|at| at + EPOCH),
+            size: None,
+            key: at.into(),
         }
     }
 
--- a/crates/node/src/entries.rs
+++ b/crates/node/src/entries.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use copperspread_decisions::*;
-use copperspread_settings::{List, NodeSettings, Phase};
+use copperspread_settings::{List, NodeSettings, Phase, name_key};
 use http::uri::Authority;
 
 /// Names told apart by small numbers, which are given out densely and kept for good.
@@ -107,6 +107,8 @@
                     Phase::Deleted => WorkerState::Gone,
                 },
                 started_at: member.started_at,
+                size: member.size,
+                key: name_key(&member.id),
             });
         }
         Some(entries)
--- a/crates/node/src/witness.rs
+++ b/crates/node/src/witness.rs
@@ -61,6 +61,9 @@
             }
             .into(),
             started_us: entry.started_at,
+            kind: entry.kind,
+            zone: entry.zone,
+            size: entry.size,
         };
         self.tell(|| What::Roster { form: form.into(), entries: entries.iter().map(entry).collect() });
     }
@@ -128,6 +131,7 @@
             outcome: outcome.into(),
             elapsed_us: end.elapsed,
             free_slots: end.report.and_then(|report| report.free_slots),
+            queue: end.report.and_then(|report| report.queue),
         });
     }
 
--- a/crates/node/tests/doors.rs
+++ b/crates/node/tests/doors.rs
@@ -103,6 +103,7 @@
         cell: number as u32,
         phase,
         started_at: None,
+        size: None,
     };
     List { revision, complete: true, members: phases.iter().enumerate().map(member).collect() }
 }
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -94,6 +94,9 @@
         /// Free slots, as the real server reported them.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         free_slots: Option<f64>,
+        /// Jobs that waited there, as reported with it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        queue: Option<f64>,
     },
     /// The client got its final answer.
     Answered {
@@ -160,6 +163,15 @@
     /// Its last start, in microseconds of Unix time; absent is long ago.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub started_us: Option<u64>,
+    /// Its kind and zone, by the numbers that the module knows them by.
+    #[serde(default)]
+    pub kind: u32,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: u32,
+    /// Its size as listed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub size: Option<f64>,
 }
 
 impl What {
--- a/crates/records/src/writer.rs
+++ b/crates/records/src/writer.rs
@@ -1,6 +1,7 @@
 //! From the serving path to a file, by a queue and a thread.
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::os::fd::AsFd;
 use std::os::unix::fs::{MetadataExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -21,10 +22,13 @@
 /// Longest wait at the end for what is queued: a disk may hang.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
+/// The name that stands for the standard error: for a machine that has no disk but whose output is kept.
+pub const STANDARD_ERROR: &str = "-";
+
 /// Where and how records are kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Spec {
-    /// The file that records are added to.
+    /// The file that records are added to; [`STANDARD_ERROR`] is no file but the standard error.
     pub file: PathBuf,
     /// Its size in bytes from which on it is put aside.
     pub rotate_at: u64,
@@ -154,12 +158,18 @@
 struct Output {
     file: File,
     length: u64,
+    /// No file of its own: it is neither locked, put aside nor cut.
+    stream: bool,
 }
 
 impl Output {
     /// Opens a file to add to it, alone. Guards against a last line that a crash has torn: it is ended,
     /// so that it does not spoil the next one.
     fn open(path: &Path) -> io::Result<Output> {
+        if path == Path::new(STANDARD_ERROR) {
+            let file = File::from(io::stderr().as_fd().try_clone_to_owned()?);
+            return Ok(Output { file, length: 0, stream: true });
+        }
         let mut file = OpenOptions::new().read(true).append(true).create(true).mode(0o640).open(path)?;
         file.try_lock().map_err(|error| match error {
             std::fs::TryLockError::WouldBlock => io::Error::other("another process writes it"),
@@ -175,16 +185,19 @@
                 length += 1;
             }
         }
-        Ok(Output { file, length })
+        Ok(Output { file, length, stream: false })
     }
 
     /// Adds whole lines, all or none of them.
     fn add(&mut self, lines: &[u8]) -> io::Result<()> {
         match self.file.write_all(lines) {
             Ok(()) => {
-                self.length += lines.len() as u64;
+                if !self.stream {
+                    self.length += lines.len() as u64;
+                }
                 Ok(())
             }
+            Err(error) if self.stream => Err(error),
             Err(error) => {
                 // A disk that filled up in the middle of a line: what was written of it goes again.
                 let _ = self.file.set_len(self.length);
@@ -198,7 +211,13 @@
         let same = |here: std::fs::Metadata, there: std::fs::Metadata| {
             (here.dev(), here.ino()) == (there.dev(), there.ino())
         };
-        self.file.metadata().ok().zip(path.metadata().ok()).is_some_and(|(here, there)| same(here, there))
+        self.stream
+            || self
+                .file
+                .metadata()
+                .ok()
+                .zip(path.metadata().ok())
+                .is_some_and(|(here, there)| same(here, there))
     }
 }
 
--- a/crates/settings/src/members.rs
+++ b/crates/settings/src/members.rs
@@ -1,4 +1,6 @@
 //! A worker list in the form that all sources share.
+use std::hash::Hasher;
+
 use copperspread_decisions::Micros;
 use http::uri::Authority;
 
@@ -30,6 +32,8 @@
     pub phase: Phase,
     /// Its last start, in Unix time; `None` is long ago.
     pub started_at: Option<Micros>,
+    /// Its size as listed, if a figure is.
+    pub size: Option<f64>,
 }
 
 /// One answer of discovery.
@@ -42,3 +46,10 @@
     /// The entries.
     pub members: Vec<Member>,
 }
+
+/// A key of a worker's name, the same on every machine: FNV-1a of its bytes.
+pub fn name_key(name: &str) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -62,6 +62,8 @@
             other => return Err(format!("unknown phase {other:?}")),
         },
         started_at: whole::<u64>(value, "up_since_ms")?.filter(|&at| at > 0).map(|ms| ms * 1_000),
+        // An odd one is no reason to do without the list.
+        size: number(value, "size").unwrap_or_default(),
     })
 }
 
@@ -93,6 +95,7 @@
     let effects = classes.iter().map(|class| class.effect).collect();
     let decisions = Settings {
         fleet_size: need(whole(params, "fleet_size"), "fleet_size")?,
+        number: whole(params, "me")?,
         zone: whole(params, "zone")?.unwrap_or(0),
         classes,
         tenants,
@@ -113,6 +116,7 @@
         may_cancel: flag(permissions, "may_cancel")?.unwrap_or(false),
         tells_start: flag(family, "tells_start")?.unwrap_or(false),
         price_cross_zone: number(part("penalties"), "cross_zone")?.unwrap_or(0.0),
+        live_sizes: text(params, "weights")? == Some("live"),
     };
     let node = NodeSettings {
         classes: names(list(params, "classes")?),
