--- a/crates/copperspread/tests/records.rs
+++ b/crates/copperspread/tests/records.rs
@@ -173,3 +173,25 @@
     assert!(descriptors <= 256 && peak <= 32_000, "{descriptors} descriptors, {peak} kB");
     let _ = std::fs::remove_file(&file);
 }
+
+/// For a machine with no disk that lasts, whose output is kept: the platform's form, on standard error.
+#[tokio::test]
+async fn records_asked_for_on_standard_error_come_between_the_log_and_say_what_a_list_held() {
+    let mut worker = Party::new().await;
+    let mut scheduler =
+        Scheduler::start_by("exec \"$PROGRAM\" serve --records -", 1024, &[worker.address]).await;
+    let mut client = scheduler.client().await;
+    scheduler.serves(&mut client, &mut worker, 1, DONE).await;
+    scheduler.terminate().await;
+    let mut records = Vec::new();
+    while let Some(line) = scheduler.next_line().await {
+        let value: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+        if value["v"] == 1 {
+            records.push(value["what"].clone());
+        }
+    }
+    let of = |kind: &str| records.iter().find(|of| of["kind"] == kind).unwrap_or_else(|| panic!("no {kind}"));
+    assert_eq!(of("roster")["entries"][0]["size"], 1.0);
+    assert_eq!(of("answered")["answer"], "served");
+    assert_eq!(of("run_ended")["requests_left"], 0);
+}
