Read worker lists of up to 2 MiB: at 64 KiB a fleet of some 400 workers was not followed

The bound of the protocol's other bodies stood for discovery's list too (source/targets.rs, LONGEST_BODY): a longer list is no answer, the old one stays, and the watch starts anew each time. Seen by a test that answers a watch with 5,000 entries: before, the next watch asks from the old revision; now it goes on from the new one and jobs go to the entry that it names.

--- a/crates/copperspread/tests/scheduler.rs
+++ b/crates/copperspread/tests/scheduler.rs
@@ -515,3 +515,20 @@
     assert!(!output.status.success());
     assert!(String::from_utf8_lossy(&output.stderr).contains("EDGE_CONFIG"));
 }
+
+#[tokio::test]
+async fn a_list_of_five_thousand_entries_is_followed() {
+    let old = Party::new().await;
+    let mut new = Party::new().await;
+    let mut scheduler = Scheduler::start(&[old.address]).await;
+    let mut members: Vec<_> =
+        (0..5_000).map(|i| member(&format!("gone{i}"), old.address, "DRAINING")).collect();
+    members.push(member("r0", new.address, "SERVING"));
+    let watch = scheduler.discovery.asked().await;
+    watch.answer("200 OK", "", &list(6, true, &members));
+    // It was read to the end: the next watch goes on from it.
+    let next = scheduler.discovery.asked().await;
+    assert!(next.message.first.contains("from=6"), "{}", next.message.first);
+    let mut client = scheduler.client().await;
+    scheduler.serves(&mut client, &mut new, 1, r#""state":"done","result":"paid""#).await;
+}
--- a/crates/node/src/source/targets.rs
+++ b/crates/node/src/source/targets.rs
@@ -16,8 +16,9 @@
 use crate::invariant::note;
 use crate::source::{Membership, Source};
 
-/// Longest body that discovery sends.
-const LONGEST_BODY: usize = 64 * 1024;
+/// Longest list that is read: some 10,000 entries, so that no fleet in sight reaches it, and a sixteenth
+/// of the least memory. The 64 KiB of the protocol's other bodies hold about 400.
+const LONGEST_BODY: usize = 2 << 20;
 /// How long a watch is held at discovery. Short, because the wait for a watch that fell silent adds
 /// to how late a change is seen, and empty answers cost little.
 const HOLD: Micros = 2 * SECOND;
