--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -95,9 +95,6 @@
 const COLD_AIM: f64 = 0.5;
 /// A dispatcher's part of a budget holds so many usual jobs, or all of it where that is less.
 const COLD_JOBS: f64 = 4.0;
-/// A cold worker is taken to have its least share to this power: the least holds for the worst of all
-/// kinds and days, and half of what it lacks, on a logarithmic scale, is made up by the usual one.
-const COLD_LIKELY: f64 = 0.5;
 /// Shortest believable job: keeps the typical job time, by which is divided, above 0.
 const SHORTEST_JOB: Micros = 1_000;
 /// Longest believable hint, in seconds; beyond it counts as absent.
@@ -559,8 +556,7 @@
     }
 
     fn learn_rate(&mut self, now: Micros, index: usize, work: f64, took: f64) {
-        // What a cold worker shows is a share of what it will do.
-        let sample = work / (took * self.likely(now, &self.workers[index]));
+        let sample = work / took;
         if !(sample >= RATE_BOUNDS.0 && sample <= RATE_BOUNDS.1) {
             return;
         }
@@ -726,7 +722,7 @@
     /// knows its own and expects the others', so that it does not crowd onto one quick worker
     /// together with its peers; the excess over the slots is a mean over what they may hold.
     fn estimate(&self, now: Micros, worker: &Worker, job: &Request) -> (f64, f64) {
-        let alone = job.work / (worker.service_rate * self.likely(now, worker));
+        let alone = job.work / worker.service_rate;
         let slots = self.slots_of(worker);
         let (others, variance) = self.others(now, worker, slots);
         let over = worker.own_slots + job.slots + others - slots;
@@ -743,10 +739,10 @@
         (1.0 - faults.min(FAULT_CAP)) * (1.0 - kind.full.min(FAULT_CAP))
     }
 
-    /// Time left until the aim, which grows with the job's own work.
-    fn time_left(&self, now: Micros, job: &Request) -> f64 {
+    /// Time left at a worker until the aim, which grows with the job's own time there.
+    fn time_left(&self, now: Micros, worker: &Worker, job: &Request) -> f64 {
         let stretch = self.settings.classes[job.class].stretch;
-        let aim = secs(job.aim_at) + stretch * job.work;
+        let aim = secs(job.aim_at) + stretch * (job.work / worker.service_rate);
         aim.min(secs(job.deadline)) - secs(now)
     }
 
@@ -808,7 +804,7 @@
             }
         }
         let (index, _, estimate) = best.ok_or((SWEEP, Refusal::NoWorker))?;
-        let excess = estimate - self.time_left(now, job);
+        let excess = estimate - self.time_left(now, &self.workers[index], job);
         if excess <= 0.0 { Ok(index) } else { Err((span(excess), Refusal::Late(span(excess)))) }
     }
 
@@ -826,11 +822,6 @@
         s.cold_from + (1.0 - s.cold_from) * warm
     }
 
-    /// The share that it is likely to have. A job there runs as much slower.
-    fn likely(&self, now: Micros, worker: &Worker) -> f64 {
-        if self.is_cold(now, worker) { self.present(now, worker).powf(COLD_LIKELY) } else { 1.0 }
-    }
-
     /// This dispatcher's place among all for a worker, from 0, by rendezvous: each pair of the two has
     /// a random figure that all can compute, and the lowest comes first.
     fn cold_place(&mut self, index: usize) -> u32 {
@@ -988,7 +979,7 @@
         actions.push(Action::Send { request: id, worker, estimate });
         if self.settings.tells_start && self.may_copy(now, request) {
             let worker = &self.workers[index];
-            let slack = self.time_left(now, request) - request.work / worker.service_rate;
+            let slack = self.time_left(now, worker, request) - request.work / worker.service_rate;
             let after = span(slack * COPY_AFTER).max(COPY_LEAST);
             actions.push(Action::Wake { after, timer: Timer::Check(id) });
         }
--- a/crates/decisions/tests/gate.rs
+++ b/crates/decisions/tests/gate.rs
@@ -51,9 +51,9 @@
         assert!(node.refused() != node.sent().is_some(), "sent or refused, never both");
         sent += usize::from(node.sent().is_some());
     }
-    // Aim 1 s and twice its work: 3 s, at rate 2 six times the job alone, so with two slots at most
-    // twelve jobs fit there, and on the slow one (2 s alone) three.
-    assert!((4..=15).contains(&sent), "{sent} were sent");
+    // Aim 1 s and twice its time: at rate 2 and two slots that is 1 + 2 * 0.5 = 2 s, four times the
+    // job alone, so at most eight jobs fit there, and on the slow one (5 s of 2 s) five.
+    assert!((4..=13).contains(&sent), "{sent} were sent");
     assert!(node.refused());
 }
 
--- a/crates/decisions/tests/learning.rs
+++ b/crates/decisions/tests/learning.rs
@@ -62,9 +62,7 @@
 
 #[test]
 fn progress_notes_tell_the_rate_where_starts_are_not_told() {
-    let mut quiet = Settings { tells_start: false, ..settings(Effect::Unsafe) };
-    // Jobs of the slow one take four times their work, and are sent all the same.
-    quiet.classes[0].stretch = 5.0;
+    let quiet = Settings { tells_start: false, ..settings(Effect::Unsafe) };
     let mut node = Node::new(quiet, &[]);
     for (worker, rate) in [(0u32, 1.0), (1, 0.25)] {
         node.roster(RosterKind::Full, &[entry(worker)]);
