Cause the large fleet's failures in tests: vast scenarios, odd sizes, long lists

One test's name said more than it asserted; sizes, number and key had none; an absurd size made its kind look crowded.

Module tests: an idle cold worker beside crowded ones, absurd sizes, lists of 0 to 5,000 entries in fleets of 1 to 10,000. Also tests of the JSON's size, me and weights, of the key, of deploy/recorded.toml against deploy/balancer.toml, and `--records` has the configuration's own defaults, as its comment said and its figures did not.

--- a/crates/copperspread/src/serve.rs
+++ b/crates/copperspread/src/serve.rs
@@ -25,10 +25,10 @@
 
 /// A file that is read again has not changed for this long.
 const SETTLE: Micros = 50_000;
-/// Records asked for on the command line: the size in bytes at which their file is put aside, and how
-/// many may wait. As the configuration's own defaults.
-const ASKED_MOST: u64 = 64 << 20;
-const ASKED_QUEUE: usize = 8_192;
+/// Records asked for on the command line: the size in bytes at which their file is put aside, how many
+/// such are kept and how many records may wait. As the configuration's own defaults, which the platform's
+/// build leaves out.
+const ASKED: (u64, u32, usize) = (64_000_000, 4, 4_096);
 /// Where the program tells its source that the configuration names another list.
 enum Moving {
     Targets(watch::Sender<Authority>),
@@ -174,9 +174,9 @@
     let log = logging::begin(&told.log)?;
     let asked = records.map(|file| writer::Spec {
         file: file.to_owned(),
-        rotate_at: ASKED_MOST,
-        keep: 1,
-        queue: ASKED_QUEUE,
+        rotate_at: ASKED.0,
+        keep: ASKED.1,
+        queue: ASKED.2,
     });
     let (recorder, writer) = match asked.or_else(|| told.records.clone()) {
         None => (Recorder::off(), None),
--- a/crates/copperspread/tests/cli.rs
+++ b/crates/copperspread/tests/cli.rs
@@ -109,3 +109,15 @@
     let (code, out, _) = said(program().args(["check", platform]));
     assert!(code == 0 && out.contains("good, the platform's form: n0 listens on 127.0.0.1:8081"), "{out}");
 }
+
+/// Guards against a recorded run of another program than the one that is measured.
+#[test]
+fn the_recorded_deployment_differs_from_the_platforms_by_its_records_alone() {
+    let file = |name: &str| {
+        let path = format!("{}/../../deploy/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+        std::fs::read_to_string(path).expect("a deploy file")
+    };
+    let recorded = file("recorded");
+    assert!(recorded.contains("serve --records -\""));
+    assert_eq!(recorded.replace(" --records -", ""), file("balancer"));
+}
--- a/crates/copperspread/tests/parsers.rs
+++ b/crates/copperspread/tests/parsers.rs
@@ -83,3 +83,27 @@
     assert_eq!((kept_idle(5_000_000), kept_idle(1_000_000), kept_idle(1)), (4_500_000, 700_000, 0));
     assert_eq!(edge::attribute("memory=0.3,slots=2", &["slots"]), Some(2.0));
 }
+
+/// Guards against one odd size by which a whole list would be lost.
+#[test]
+fn a_size_that_is_no_figure_is_left_out_and_the_list_stays() {
+    let (_, list) = valid();
+    for (odd, read) in [("\"big\"", None), ("null", None), ("0", Some(0.0)), ("-2e300", Some(-2e300))] {
+        let list = list.replace("\"size\":1.0", &format!("\"size\":{odd}"));
+        let list = json::parse(&list).and_then(|value| platform::read_list(&value)).expect("a list");
+        assert_eq!(list.members[0].size, read, "{odd}");
+    }
+}
+
+#[test]
+fn the_settings_tell_a_schedulers_number_and_what_the_sizes_mean() {
+    let read = |config: &str| platform::read_start(config).map(|start| start.given.decisions);
+    let (config, _) = valid();
+    let plain = read(&config).expect("a configuration");
+    assert_eq!((plain.number, plain.live_sizes), (None, false));
+    let told = config.replace("\"fleet_size\":1", "\"fleet_size\":100,\"me\":7,\"weights\":\"live\"");
+    let told = read(&told).expect("a configuration");
+    assert_eq!((told.number, told.live_sizes, told.fleet_size), (Some(7), true, 100));
+    let wrong = config.replace("\"fleet_size\":1", "\"fleet_size\":1,\"me\":-1");
+    assert!(read(&wrong).expect_err("no number").contains("me"));
+}
--- a/crates/copperspread/tests/records.rs
+++ b/crates/copperspread/tests/records.rs
@@ -181,7 +181,8 @@
     let mut scheduler =
         Scheduler::start_by("exec \"$PROGRAM\" serve --records -", 1024, &[worker.address]).await;
     let mut client = scheduler.client().await;
-    scheduler.serves(&mut client, &mut worker, 1, DONE).await;
+    let done = r#""state":"done","result":"paid","load":{"x0":1.5,"queue":3}"#;
+    scheduler.serves(&mut client, &mut worker, 1, done).await;
     scheduler.terminate().await;
     let mut records = Vec::new();
     while let Some(line) = scheduler.next_line().await {
@@ -192,6 +193,7 @@
     }
     let of = |kind: &str| records.iter().find(|of| of["kind"] == kind).unwrap_or_else(|| panic!("no {kind}"));
     assert_eq!(of("roster")["entries"][0]["size"], 1.0);
+    assert_eq!(of("scheduling_ended")["queue"], 3.0);
     assert_eq!(of("answered")["answer"], "served");
     assert_eq!(of("run_ended")["requests_left"], 0);
 }
--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -45,11 +45,14 @@
 const SLOTS_DOWN: f64 = 0.002;
 /// Most that a listed size tells of what a worker holds, in times its slots.
 const HELD_MOST: f64 = 8.0;
+/// A size so many times the middle one of its kind is no worker's: one that is idle among others that
+/// all hold the most believed shows less.
+const ODD_SIZE: f64 = 2.0 * (1.0 + HELD_MOST);
 /// Weight of one list in what a worker usually holds: about the last three count.
 const LISTED_GAIN: f64 = 0.35;
 /// Age of what a list tells when it comes, in seconds.
 const LISTED_AGE: f64 = 0.9;
-/// ... and it fades toward what the worker usually holds in this time, about two typical jobs.
+/// ... and it fades toward what the worker usually holds in this time, in seconds.
 const LISTED_FADE: f64 = 1.0;
 /// Attempts of a request while all are turned away; as many more as fewer are.
 const FULL_TRIES: f64 = 1.5;
@@ -207,8 +210,9 @@
     /// Slots of the other dispatchers' jobs here by the last report, and when it came.
     others: f64,
     others_at: Option<Micros>,
-    /// Slots taken here by all by the last list that told its size, on average over the lists, and when
+    /// Its size as last listed; slots that all take here by that, and on average over the lists; and when
     /// the last came.
+    size: Option<f64>,
     listed: f64,
     listed_mean: f64,
     listed_at: Option<Micros>,
@@ -455,24 +459,38 @@
             self.enter(now, entry);
         }
         if self.settings.live_sizes {
+            self.learn_sizes(roster.entries);
             for entry in roster.entries {
                 self.learn_listed(now, entry);
             }
         }
     }
 
+    /// The size of an idle worker of each kind is the largest that was listed. Guards against an absurd
+    /// one, beside which all others of its kind would seem to hold a great deal: such is left out.
+    fn learn_sizes(&mut self, entries: &[WorkerEntry]) {
+        for entry in entries {
+            if let Some(worker) = self.workers.get_mut(entry.worker.0 as usize) {
+                worker.size = sane(entry.size, MAX_UNITS);
+            }
+        }
+        let mut sizes: Vec<_> = self.workers.iter().filter_map(|of| Some((of.kind, of.size?))).collect();
+        sizes.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for kind in sizes.chunk_by(|a, b| a.0 == b.0) {
+            let most = ODD_SIZE * kind[(kind.len() - 1) / 2].1;
+            let largest = kind.iter().rev().map(|of| of.1).find(|&size| size <= most).unwrap_or(most);
+            let known = &mut self.kinds[kind[0].0 as usize].size;
+            *known = known.max(largest);
+        }
+    }
+
     /// Takes what a listed size tells: all that the worker holds, known to nobody else so soon.
     fn learn_listed(&mut self, now: Micros, entry: &WorkerEntry) {
         let index = entry.worker.0 as usize;
-        let Some(size) = sane(entry.size, MAX_UNITS) else { return };
         let Some(worker) = self.workers.get(index) else { return };
-        let own = &mut self.kinds[worker.kind as usize].size;
-        *own = own.max(size);
-        if entry.state != WorkerState::Ready {
-            return;
-        }
-        let held = (*own / size - 1.0).min(HELD_MOST);
-        let slots = self.slots_of(&self.workers[index]);
+        let Some(size) = worker.size.filter(|_| entry.state == WorkerState::Ready) else { return };
+        let held = (self.kinds[worker.kind as usize].size / size - 1.0).clamp(0.0, HELD_MOST);
+        let slots = self.slots_of(worker);
         let worker = &mut self.workers[index];
         worker.listed = held * slots * self.mean_slots;
         let gain = if worker.listed_at.is_some() { LISTED_GAIN } else { 1.0 };
@@ -509,6 +527,7 @@
                 class_faults: vec![0.0; self.settings.classes.len()],
                 others: 0.0,
                 others_at: None,
+                size: None,
                 listed: 0.0,
                 listed_mean: 0.0,
                 listed_at: None,
--- a/crates/decisions/tests/cold.rs
+++ b/crates/decisions/tests/cold.rs
@@ -96,10 +96,10 @@
     (worst, sends.iter().map(|s| s.1).sum::<f64>() / budget)
 }
 
-/// Guards against a part of the budget that is smaller than any job: each of many dispatchers sent one
-/// job and then none, and a replaced fleet stayed cold. And against those that all send on one word.
+/// Guards against a part of the budget that is smaller than any job, and against many that each send a
+/// little at random: together they go beyond any budget.
 #[test]
-fn a_large_fleet_that_is_told_what_a_cold_worker_holds_sends_it_more_and_stays_inside_the_budget() {
+fn a_large_fleet_with_no_other_worker_keeps_a_cold_one_at_work_inside_its_budget() {
     for fleet in [40, 100, 200] {
         let mut told = 0.0;
         for heavy in [false, true] {
@@ -162,3 +162,80 @@
     node.job(1, 0.5);
     assert_eq!(node.sent(), Some(0));
 }
+
+/// A dispatcher of a hundred that has heard of crowded warm workers, and of one that is new.
+fn beside_crowded_ones(size: Option<f64>, seed: u64) -> Option<u32> {
+    let settings = Settings { fleet_size: 100, number: None, live_sizes: true, ..settings(Effect::Unsafe) };
+    // Of a budget so large that all may share it: here the choice counts.
+    let settings = Settings { fall_multiple: 1000.0, ..settings };
+    let warm: Vec<_> = (0..8).map(|i| WorkerEntry { size: Some(4.0), ..entry(i) }).collect();
+    let mut node = Node::seeded(settings, &warm, seed);
+    for i in 0..30 {
+        let free = if i == 0 { 2.0 } else { 0.3 };
+        node.run(1_000 + i, 0.5, 0.5, Some(Report { free_slots: Some(free), ..Report::default() }));
+        node.now += SECOND;
+    }
+    let mut all = warm;
+    all.push(WorkerEntry { started_at: Some(node.now), size, ..entry(8) });
+    node.roster(RosterKind::Full, &all);
+    node.now += 100 * MS;
+    node.job(1, 0.5);
+    node.sent()
+}
+
+/// Guards against new workers that pass for as crowded as the old ones: they stood idle.
+#[test]
+fn a_cold_worker_that_the_list_shows_idle_is_preferred_to_crowded_ones_and_one_it_shows_full_is_not() {
+    let sent_there = |size| (0..40).filter(|&seed| beside_crowded_ones(size, seed) == Some(8)).count();
+    let (idle, full, untold) = (sent_there(Some(4.0)), sent_there(Some(0.8)), sent_there(None));
+    assert!(idle >= 30, "{idle} of 40 to the idle one");
+    assert!(
+        full <= 2 && untold < idle / 2,
+        "{full} to the full one, {untold} to one of which nothing is told"
+    );
+}
+
+#[test]
+fn absurd_sizes_neither_panic_nor_shut_a_kind_out() {
+    for odd in [f64::NAN, f64::INFINITY, 0.0, -3.0, 1e-300, 9_999.0, 1e300] {
+        // A budget that all hundred may share, so that only what the list tells counts.
+        let settings =
+            Settings { fleet_size: 100, fall_multiple: 1000.0, live_sizes: true, ..settings(Effect::Unsafe) };
+        let mut entries: Vec<_> = (0..4).map(|i| WorkerEntry { size: Some(4.0), ..entry(i) }).collect();
+        entries[0].size = Some(odd);
+        entries[1].started_at = Some(100 * SECOND);
+        let mut node = Node::new(settings, &entries[..0]);
+        node.roster(RosterKind::Full, &entries);
+        // Only the cold one is left, idle by the list.
+        for of in [0, 2, 3] {
+            entries[of].state = WorkerState::Draining;
+        }
+        node.roster(RosterKind::Changes, &entries);
+        node.now += 5 * SECOND;
+        node.job(1, 0.2);
+        assert_eq!(node.sent(), Some(1), "beside a size of {odd}");
+    }
+}
+
+#[test]
+fn lists_and_fleets_of_any_length_are_taken() {
+    for fleet in [1, 100, 10_000] {
+        for count in [0, 1, 5_000] {
+            let settings = Settings {
+                fleet_size: fleet,
+                number: Some(fleet - 1),
+                live_sizes: true,
+                ..settings(Effect::Unsafe)
+            };
+            let started_at = Some(100 * SECOND);
+            let cold: Vec<_> =
+                (0..count).map(|i| WorkerEntry { started_at, size: Some(4.0), ..entry(i) }).collect();
+            let mut node = Node::new(settings, &[]);
+            node.roster(RosterKind::Full, &cold);
+            node.now += SECOND;
+            node.job(1, 0.1);
+            assert!(count > 0 || node.refused(), "no worker is listed");
+            assert!(node.refused() != node.sent().is_some(), "{fleet} dispatchers, {count} entries");
+        }
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -196,7 +196,10 @@
     "rolling-drain",
     "cold-wave",
     "retry-storm",
-    "large"
+    "large",
+    "vast-release",
+    "vast-replaced",
+    "vast-zone"
 );
 const LARGE: &str = "large";
 
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -269,11 +269,14 @@
     pub first_after: f64,
     /// The share of workers in the list of before the start that are not there any more.
     pub stale: f64,
+    /// The list tells each worker's size, divided by 1 and the jobs it holds a core, renewed every so
+    /// many seconds; 0: never. In virtual time only.
+    pub sizes: f64,
 }
 
 impl Default for Discovery {
     fn default() -> Discovery {
-        Discovery { delay: 2.0, first_after: 0.0, stale: 0.0 }
+        Discovery { delay: 2.0, first_after: 0.0, stale: 0.0, sizes: 0.0 }
     }
 }
 
@@ -435,6 +438,10 @@
         positive("seconds", self.seconds)?;
         positive("clients.rate", self.clients.rate)?;
         positive("clients.grace", self.clients.grace)?;
+        let sizes = self.discovery.sizes;
+        if sizes != 0.0 && !(0.05..=3_600.0).contains(&sizes) {
+            return Err(format!("discovery.sizes: {sizes} is neither 0 nor between 0.05 and 3600"));
+        }
         if self.zones == 0 || self.schedulers == 0 || self.classes.is_empty() || self.workers.is_empty() {
             return Err("zones, schedulers, workers and classes: at least one of each".into());
         }
@@ -538,6 +545,7 @@
         Settings {
             fleet_size: self.schedulers,
             number: Some(scheduler),
+            live_sizes: self.discovery.sizes > 0.0,
             zone: scheduler % self.zones,
             classes: self.classes.iter().map(class).collect(),
             worth_by_work: true,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -57,6 +57,8 @@
     GiveUp(u64),
     Turn(Turn),
     Contradict(bool),
+    /// The list's sizes are renewed.
+    Sizes,
 }
 
 /// A final answer on its way.
@@ -165,6 +167,8 @@
     /// What the list will tell once discovery is back.
     untold: Vec<WorkerEntry>,
     discovery_down: u32,
+    /// The sizes that were last renewed, by worker.
+    sizes: Vec<f64>,
     reports_late: Micros,
     wires: Vec<Wire>,
     /// From when on each connection stands idle, by scheduler and worker.
@@ -211,6 +215,7 @@
             next_id: 0,
             untold: Vec::new(),
             discovery_down: 0,
+            sizes: Vec::new(),
             reports_late: 0,
             wires: vec![Wire::default(); scenario.workers.iter().map(|of| of.count as usize).sum()],
             connections: FxHashMap::default(),
@@ -246,6 +251,9 @@
         for turn in turns {
             self.at(turn.at, Ev::Turn(*turn));
         }
+        if self.scenario.discovery.sizes > 0.0 {
+            self.at(micros(self.scenario.discovery.sizes), Ev::Sizes);
+        }
         if let Some(arrival) = self.arrivals.next() {
             self.at(arrival.at, Ev::Arrive(arrival));
         }
@@ -283,11 +291,37 @@
                 worker::Life::Dead | worker::Life::Vanished => WorkerState::Gone,
             },
             started_at: worker.started_at.map(|at| at + EPOCH),
-            size: None,
+            size: (self.scenario.discovery.sizes > 0.0).then(|| self.size(at)),
             key: at.into(),
         }
     }
 
+    /// What a list tells of a worker's size: its kind's, divided by 1 and the jobs that it holds a core.
+    fn size(&self, at: u32) -> f64 {
+        let of = &self.scenario.workers[self.kinds[at as usize] as usize];
+        let idle = of.cores * (of.speed[0] + of.speed[1]) / 2.0;
+        idle / (1.0 + self.workers[at as usize].0.holds() as f64 / of.cores)
+    }
+
+    /// All who take work and whose size is another than when it was last told are listed anew.
+    fn renew_sizes(&mut self) {
+        let now: Vec<f64> = (0..self.workers.len() as u32).map(|at| self.size(at)).collect();
+        let told = std::mem::replace(&mut self.sizes, now);
+        let changed = (0..self.workers.len() as u32).filter(|&at| {
+            let (size, takes) =
+                (self.sizes[at as usize], self.workers[at as usize].0.life == worker::Life::Up);
+            takes && told.get(at as usize).is_none_or(|&old| old != size)
+        });
+        let entries: Vec<_> = changed.map(|at| self.entry(at)).collect();
+        if self.discovery_down == 0 && self.contradicted.is_none() {
+            self.tell_all(&Arc::new(entries));
+        }
+        let next = self.now + micros(self.scenario.discovery.sizes);
+        if next < micros(self.scenario.seconds) {
+            self.at(next, Ev::Sizes);
+        }
+    }
+
     /// The list changes, and schedulers will be told.
     fn changed(&mut self, worker: u32) {
         let entry = self.entry(worker);
@@ -355,6 +389,7 @@
                 }
             }
             Ev::Contradict(old) => self.contradict(old),
+            Ev::Sizes => self.renew_sizes(),
             Ev::Told(scheduler, kind, entries) => {
                 if !self.schedulers[scheduler as usize].up {
                     return;
