Give emulated schedulers live sizes as the scenario does, and refuse such in real time

program.rs now writes weights; emulate, whose list renews no sizes, refuses a scenario with discovery.sizes, as every worker would pass for idle (with a test).

--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -82,6 +82,11 @@
             scenario.name, scenario.schedulers
         ));
     }
+    if scenario.discovery.sizes > 0.0 {
+        // Guards against a run in which all workers pass for idle.
+        let name = &scenario.name;
+        return Err(format!("{name}: discovery.sizes: emulate's list renews no sizes; sim plays it"));
+    }
     if Arrivals::new(scenario, seed).take(MOST_JOBS + 1).count() > MOST_JOBS {
         return Err(format!("{}: more than {MOST_JOBS} jobs", scenario.name));
     }
--- a/crates/lab/src/emulate/program.rs
+++ b/crates/lab/src/emulate/program.rs
@@ -99,6 +99,7 @@
         "settings": {
             "fleet_size": scenario.schedulers, "me": scheduler, "zone": scheduler % scenario.zones, "zones": zones,
             "kinds": kinds, "classes": classes, "discovery": "pushed", "worth_by": "work",
+            "weights": if scenario.discovery.sizes > 0.0 { "live" } else { "silent" },
             "family_info": {"class_stretch": stretches, "tells_start": true},
             "permissions": {
                 "send_cap": tuning.max_attempts, "second_copies": tuning.second_copies,
--- a/crates/lab/tests/vast.rs
+++ b/crates/lab/tests/vast.rs
@@ -1,5 +1,7 @@
 //! The hard cases of a large fleet, 100 schedulers and 60 workers in virtual time: what all of them do
 //! together. The list tells live sizes, a second late and renewed every 0.9 s.
+use copperspread_lab::emulate::program::Program;
+use copperspread_lab::emulate::{Schedulers, emulate};
 use copperspread_lab::policy::Kind;
 use copperspread_lab::scenario::Scenario;
 use copperspread_lab::sim::play;
@@ -38,6 +40,18 @@
     assert!(share > 0.5, "{share}");
 }
 
+/// Its list would show every worker idle.
+#[test]
+fn real_time_refuses_what_needs_live_sizes() {
+    let text = include_str!("../scenarios/vast-zone.toml").replace("schedulers = 100", "schedulers = 3");
+    let text = text.replace("count = 21", "count = 1").replace("count = 13", "count = 1");
+    let scenario = Scenario::read(&text.replace("count = 26", "count = 1")).expect("a scenario");
+    let (file, arguments) = ("none".into(), Vec::new());
+    let none = Schedulers::Started(Program { file, arguments });
+    let why = emulate(&scenario, &none, "none", 1).expect_err("no sizes there");
+    assert!(why.contains("discovery.sizes"), "{why}");
+}
+
 #[test]
 fn sizes_renewed_too_often_are_no_scenario() {
     let text = include_str!("../scenarios/vast-zone.toml").replace("sizes = 0.9", "sizes = 0.0001");
