Give each dispatcher of a large fleet a taste of its own among workers past the gate

From 16 dispatchers on each worker's rank has a random factor that is the dispatcher's own, and those past the gate come before the others. A fleet of 3 decides as before.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -50,6 +50,11 @@
 const ODD_SIZE: f64 = 2.0 * (1.0 + HELD_MOST);
 /// Weight of one list in what a worker usually holds: about the last three count.
 const LISTED_GAIN: f64 = 0.35;
+/// From so many dispatchers on, one's own jobs tell little of what the others have at a worker.
+const MANY: u32 = 16;
+/// How much taste weighs there: a worker that ranks a tenth higher is chosen by 1.1 to the power of 1 /
+/// this as many. At 0.1 too many still meet at one; at 0.35 too many stay away from the quick.
+const TASTE: f64 = 0.2;
 /// Age of what a list tells when it comes, in seconds.
 const LISTED_AGE: f64 = 0.9;
 /// ... and it fades toward what the worker usually holds in this time, in seconds.
@@ -222,6 +227,8 @@
     /// The same at every dispatcher; and this one's place among them there (see `cold_place`).
     key: u64,
     place: Option<u32>,
+    /// By how much this dispatcher's own taste raises the rank here (see `pick`).
+    taste: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -535,6 +542,7 @@
                 cold_at: 0,
                 key: 0,
                 place: None,
+                taste: 1.0,
             });
         }
         let worker = &mut self.workers[index];
@@ -548,6 +556,11 @@
         }
         if entry.key != worker.key {
             (worker.key, worker.place) = (entry.key, None);
+            if self.settings.fleet_size >= MANY {
+                // An exponential figure to a power: of such, each times a rank, the lowest is at a worker
+                // with a chance that falls with its rank to the inverse power.
+                worker.taste = (-(1.0 - self.rng.f64()).ln()).powf(TASTE);
+            }
         }
         worker.state = entry.state;
         worker.zone = entry.zone;
@@ -765,9 +778,11 @@
         aim.min(secs(job.deadline)) - secs(now)
     }
 
-    /// The ready worker with the lowest estimate that keeps to the rules, if the job passes its
-    /// gate; ties at random. Otherwise, when to come back: the jobs there must first shrink by as
-    /// much as the estimate exceeds the time left; with no worker at all, a round later.
+    /// The lowest ready worker that keeps to the rules, if the job passes its gate; ties at random.
+    /// Otherwise, when to come back: the jobs there must first shrink by as much as the estimate exceeds
+    /// the time left; with no worker at all, a round later.
+    /// In a large fleet each dispatcher has a taste of its own. Guards against dispatchers that know the
+    /// same and all meet at one worker, of which each hears only when its own jobs come back late.
     fn pick(&mut self, now: Micros, job: &Request) -> Result<usize, (Micros, Refusal)> {
         let class = &self.settings.classes[job.class];
         let bound = class.worker_kind;
@@ -778,9 +793,12 @@
         // A crossing to another zone costs its price in worth, told in time: worth falls over the aim.
         let aim = secs(class.aim) + class.stretch * job.work / self.fleet.rate.log_mean.exp();
         let crossing = CROSSING * self.settings.price_cross_zone * aim;
-        let mut best: Option<(usize, f64, f64)> = None;
+        let mut best: Option<(usize, (bool, f64), f64)> = None;
         let mut ties = 1;
         let count = self.workers.len();
+        let many = self.settings.fleet_size >= MANY;
+        // The lowest taste of so many is about 1 with this.
+        let usual_taste = if many { (count as f64).powf(TASTE) } else { 1.0 };
         let start = if count > SCAN_MOST { self.rng.usize(0..count) } else { 0 };
         let mut seen = 0;
         for step in 0..count {
@@ -804,26 +822,28 @@
             }
             seen += 1;
             let (estimate, weighed) = self.estimate(now, worker, job);
+            let cold = self.is_cold(now, worker);
+            let excess = estimate - self.time_left(now, worker, job);
             let crossing = if worker.zone == self.settings.zone { 0.0 } else { crossing };
-            let rank = (weighed + crossing) / self.answers(worker, job.class);
+            // A cold worker is open to few dispatchers, each with a part: there no crowd can meet.
+            let taste = if cold { 1.0 } else { worker.taste * usual_taste };
+            let rank = (weighed + crossing) * taste / self.answers(worker, job.class);
+            // Those past the gate come first, where taste may have put one that is not before them.
+            let rank = (many && excess > 0.0, rank);
             let beats = match best {
-                None => !rank.is_nan(),
+                None => !rank.1.is_nan(),
                 Some((_, lowest, _)) => rank <= lowest,
             };
-            if !beats {
+            if !beats || (cold && !self.cold_admits(now, index, job)) {
                 continue;
             }
             let tied = best.is_some_and(|(_, lowest, _)| rank == lowest);
-            if self.is_cold(now, worker) && !self.cold_admits(now, index, job) {
-                continue;
-            }
             ties = if tied { ties + 1 } else { 1 };
             if !tied || self.rng.u32(0..ties) == 0 {
-                best = Some((index, rank, estimate));
+                best = Some((index, rank, excess));
             }
         }
-        let (index, _, estimate) = best.ok_or((SWEEP, Refusal::NoWorker))?;
-        let excess = estimate - self.time_left(now, &self.workers[index], job);
+        let (index, _, excess) = best.ok_or((SWEEP, Refusal::NoWorker))?;
         if excess <= 0.0 { Ok(index) } else { Err((span(excess), Refusal::Late(span(excess)))) }
     }
 
