--- a/crates/copperspread/src/cli.rs
+++ b/crates/copperspread/src/cli.rs
@@ -66,6 +66,18 @@
         #[arg(long)]
         all: bool,
     },
+    /// Sum those of many schedulers by time and by worker, as `serve --records` kept them
+    Fleet {
+        /// The files, or folders of files, one a scheduler; other lines in them are passed over
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Seconds that are summed in one line
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..))]
+        window: u64,
+        /// Workers that are told of, those with the most jobs out at once first
+        #[arg(long, default_value_t = 20)]
+        workers: usize,
+    },
     /// Sum them up: runs, gaps, disorder, and what clients got
     Stat {
         /// The file
@@ -139,6 +151,10 @@
         #[cfg(feature = "standalone")]
         Some(Command::Records(Records::Stat { file, all })) => standalone::records_stat(&file, all),
         #[cfg(feature = "standalone")]
+        Some(Command::Records(Records::Fleet { files, window, workers })) => {
+            standalone::records_fleet(&files, window, workers)
+        }
+        #[cfg(feature = "standalone")]
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "copperspread", &mut std::io::stdout());
             Ok(())
--- a/crates/copperspread/src/standalone.rs
+++ b/crates/copperspread/src/standalone.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use copperspread_config::{Effective, LogFormat, Surroundings};
+use copperspread_records::fleet::Fleet;
 use copperspread_records::reader::{Line, Reader};
 use copperspread_records::report::Report;
 use copperspread_records::writer;
@@ -162,3 +163,31 @@
         _ => Ok(()),
     }
 }
+
+/// Prints what the records of many schedulers came to, each of the paths a file or a folder of files.
+///
+/// # Errors
+/// A file or folder that cannot be read.
+pub fn records_fleet(paths: &[std::path::PathBuf], window: u64, workers: usize) -> Result<(), String> {
+    let mut files = Vec::new();
+    for path in paths {
+        let named = |error: std::io::Error| format!("{}: {error}", path.display());
+        if path.is_dir() {
+            for entry in std::fs::read_dir(path).map_err(named)? {
+                files.push(entry.map_err(named)?.path());
+            }
+        } else {
+            files.push(path.clone());
+        }
+    }
+    files.retain(|path| !path.is_dir());
+    files.sort();
+    let mut fleet = Fleet::default();
+    for path in files {
+        read_records(&path, false, |line| {
+            fleet.add(line);
+            Ok(())
+        })?;
+    }
+    print(&fleet.text(window, workers))
+}
--- a/crates/copperspread/tests/records.rs
+++ b/crates/copperspread/tests/records.rs
@@ -197,3 +197,22 @@
     assert_eq!(of("answered")["answer"], "served");
     assert_eq!(of("run_ended")["requests_left"], 0);
 }
+
+#[tokio::test]
+async fn the_records_of_a_folder_are_summed_over_the_fleet() {
+    let mut worker = Party::new().await;
+    let folder = scratch("fleet");
+    std::fs::create_dir(&folder).expect("a folder");
+    for number in 0..2 {
+        let mut scheduler = start(&worker, &folder.join(format!("n{number}.jsonl"))).await;
+        let mut client = scheduler.client().await;
+        scheduler.serves(&mut client, &mut worker, number + 1, DONE).await;
+        scheduler.terminate().await;
+        assert!(scheduler.child.wait().await.expect("it ends").success());
+    }
+    let (out, err) = read(&["records", "fleet", "--window", "3600"], &folder);
+    assert_eq!(err, "");
+    assert!(out.contains("2 runs, 0 records missing, 0 other lines\n"), "{out}");
+    assert!(out.contains("worker r0: sent 2 (100.0 %), at most 1 out at once; served 2; took"), "{out}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! The stream is no journal to recover from: it is flushed, not synced, and a crash of the machine may
 //! lose its end.
+pub mod fleet;
 pub mod reader;
 mod record;
 pub mod report;
--- a/crates/records/src/reader.rs
+++ b/crates/records/src/reader.rs
@@ -91,7 +91,20 @@
     }
 }
 
+/// Longest stamp that is passed over before a record.
+const STAMP: usize = 64;
+
+/// A line without the stamp that whoever gathered a standard error put before it. Half a record, with
+/// another behind it, is no stamp.
+fn unstamped(text: &[u8]) -> &[u8] {
+    match text.iter().take(STAMP).position(|&byte| byte == b'{' || byte == b'"') {
+        Some(at) if text[at..].starts_with(b"{\"v\":") => &text[at..],
+        _ => text,
+    }
+}
+
 fn parse(text: &[u8]) -> Line {
+    let text = unstamped(text);
     let head: Head = match serde_json::from_slice(text) {
         Ok(head) => head,
         Err(error) => return Line::Bad { why: error.to_string() },
