Set tastes against the ready workers only; halve the fleet sum's tests, tighten vast ones

Found on reading the change again: decide.rs, pick, raised the ranks of warm workers by the number of all workers ever listed, those that left too. The bounds of the vast scenarios lay far under what they give, and the one on a zone also passed with no tastes. TASTE's comment said of 0.35 more than was measured.

The tests of the fleet sum write JSON lines in place of records.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -52,8 +52,8 @@
 const LISTED_GAIN: f64 = 0.35;
 /// From so many dispatchers on, one's own jobs tell little of what the others have at a worker.
 const MANY: u32 = 16;
-/// How much taste weighs there: a worker that ranks a tenth higher is chosen by 1.1 to the power of 1 /
-/// this as many. At 0.1 too many still meet at one; at 0.35 too many stay away from the quick.
+/// How much taste weighs there: of two workers one that ranks 1.1 times as high is chosen 1.1 to the power
+/// of 1 / this times as rarely. At 0.1 too many still meet at one; 0.35 was no better.
 const TASTE: f64 = 0.2;
 /// Age of what a list tells when it comes, in seconds.
 const LISTED_AGE: f64 = 0.9;
@@ -282,6 +282,8 @@
     /// Mean share of slots that is taken, by all dispatchers, waiting jobs included.
     busy: f64,
     fleet: Pool,
+    /// The lowest taste of the ready workers is about 1 with this.
+    usual_taste: f64,
     requests: FxHashMap<RequestId, Request>,
     /// Time from sending to a served answer, in seconds.
     job_time: f64,
@@ -366,6 +368,7 @@
             zones: Vec::new(),
             busy: BUSY_AT_FIRST,
             fleet: Pool::default(),
+            usual_taste: 1.0,
             requests: FxHashMap::default(),
             job_time: 1.0,
             started_at: None,
@@ -465,6 +468,11 @@
         for entry in roster.entries {
             self.enter(now, entry);
         }
+        if self.settings.fleet_size >= MANY {
+            // Not of those that left: a list that changes for days would raise it without end.
+            let ready = self.workers.iter().filter(|worker| worker.state == WorkerState::Ready).count();
+            self.usual_taste = (ready.max(1) as f64).powf(TASTE);
+        }
         if self.settings.live_sizes {
             self.learn_sizes(roster.entries);
             for entry in roster.entries {
@@ -797,8 +805,6 @@
         let mut ties = 1;
         let count = self.workers.len();
         let many = self.settings.fleet_size >= MANY;
-        // The lowest taste of so many is about 1 with this.
-        let usual_taste = if many { (count as f64).powf(TASTE) } else { 1.0 };
         let start = if count > SCAN_MOST { self.rng.usize(0..count) } else { 0 };
         let mut seen = 0;
         for step in 0..count {
@@ -826,7 +832,7 @@
             let excess = estimate - self.time_left(now, worker, job);
             let crossing = if worker.zone == self.settings.zone { 0.0 } else { crossing };
             // A cold worker is open to few dispatchers, each with a part: there no crowd can meet.
-            let taste = if cold { 1.0 } else { worker.taste * usual_taste };
+            let taste = if cold { 1.0 } else { worker.taste * self.usual_taste };
             let rank = (weighed + crossing) * taste / self.answers(worker, job.class);
             // Those past the gate come first, where taste may have put one that is not before them.
             let rank = (many && excess > 0.0, rank);
--- a/crates/decisions/tests/crowd.rs
+++ b/crates/decisions/tests/crowd.rs
@@ -73,3 +73,26 @@
         assert_eq!(node.sent(), Some(1), "seed {seed}");
     }
 }
+
+/// Of a hundred dispatchers, how many send their first job to a cold worker, with a budget that holds them
+/// all, after so many workers have come and gone.
+fn first_at_the_cold_one(gone: u32) -> usize {
+    let first = (0..100).filter(|&number| {
+        let settings = Settings { fleet_size: 100, number: Some(number), ..settings(Effect::Safe) };
+        let settings = Settings { fall_multiple: 1e6, ..settings };
+        let all: Vec<_> = (0..WORKERS + gone).map(entry).collect();
+        let mut node = Node::seeded(settings, &all, u64::from(number) + 1);
+        let mut left = all[..WORKERS as usize].to_vec();
+        left[0].started_at = Some(node.now);
+        node.roster(RosterKind::Full, &left);
+        node.job(1, 0.2);
+        node.sent() == Some(0)
+    });
+    first.count()
+}
+
+#[test]
+fn workers_that_came_and_went_do_not_make_cold_ones_look_better() {
+    let (fresh, aged) = (first_at_the_cold_one(0), first_at_the_cold_one(2_000));
+    assert!((10..80).contains(&fresh) && aged.abs_diff(fresh) < 20, "{fresh}, {aged}");
+}
--- a/crates/lab/tests/vast.rs
+++ b/crates/lab/tests/vast.rs
@@ -20,24 +20,19 @@
     sum / count
 }
 
-/// 0.651 over seeds 1 to 8 when it was written; 0.586 with the policy before, 0.589 where the list's sizes
-/// are not used.
+/// Six in ten replaced within 7 s: the cold ones are used. A zone back cold: none is pushed over. A release
+/// that kills most schedulers: no rule breaks. They gave 0.661, 0.859 and 0.607; with no tastes 0.650, 0.822
+/// and 0.612; the first 0.589 where the list's sizes are not used.
 #[test]
-fn six_in_ten_workers_replaced_within_7_s_are_used_while_they_are_cold() {
-    let share = served(include_str!("../scenarios/vast-replaced.toml"), 1..7);
-    assert!(share > 0.62, "{share}");
-}
-
-#[test]
-fn a_zone_that_comes_back_cold_is_not_pushed_over() {
-    let share = served(include_str!("../scenarios/vast-zone.toml"), 1..4);
-    assert!(share > 0.75, "{share}");
-}
-
-#[test]
-fn a_release_that_kills_most_schedulers_breaks_no_rule() {
-    let share = served(include_str!("../scenarios/vast-release.toml"), 1..4);
-    assert!(share > 0.5, "{share}");
+fn the_hard_cases_keep_every_rule_and_the_worth_that_they_had() {
+    for (name, text, seeds, least) in [
+        ("replaced", include_str!("../scenarios/vast-replaced.toml"), 1..7, 0.63),
+        ("zone", include_str!("../scenarios/vast-zone.toml"), 1..4, 0.84),
+        ("release", include_str!("../scenarios/vast-release.toml"), 1..4, 0.58),
+    ] {
+        let share = served(text, seeds);
+        assert!(share > least, "{name}: {share}");
+    }
 }
 
 /// Its list would show every worker idle.
--- a/crates/records/tests/fleet.rs
+++ b/crates/records/tests/fleet.rs
@@ -1,72 +1,40 @@
 //! Sums over schedulers, of streams that are written here.
 use copperspread_records::fleet::Fleet;
-use copperspread_records::reader::{Line, Reader};
-use copperspread_records::{Choice, FORMAT, Record, What};
+use copperspread_records::reader::Reader;
 
-const WORKER: &str = "r0";
-
-/// One scheduler's stream: a flow that is sent at a second and ends some seconds later.
-fn stream(run: &str, sent_at: u64, ends_at: u64, outcome: &str) -> Vec<Record> {
-    let flow = format!("{run:0>16}");
+/// One scheduler's stream: a flow that is sent at a second to r0 and ends there some seconds later. The
+/// answer is recorded before the scheduling's end, as it may be.
+fn stream(run: &str, sent_at: u64, ends_at: u64, outcome: &str) -> Vec<String> {
+    let (flow, took) = (format!(r#""flow":"{run:0>16}""#), (ends_at - sent_at) * 1_000_000);
+    let answer = if outcome == "served" { "served" } else { "failed" };
     let whats = [
-        (sent_at, What::RunStarted { name: format!("n{run}"), program: "0".into() }),
-        (
-            sent_at,
-            What::FlowTaken {
-                flow: flow.clone(),
-                class: "once".into(),
-                cost_hint_s: None,
-                slots: None,
-                time_left_us: 9_000_000,
-            },
-        ),
-        (
-            sent_at,
-            What::Decided {
-                flow: flow.clone(),
-                choice: Choice::Send { real_server: WORKER.into(), estimate_us: 1_000_000 },
-            },
-        ),
-        (sent_at, What::SchedulingSent { flow: flow.clone(), attempt: 0, real_server: WORKER.into() }),
-        (
-            ends_at,
-            What::SchedulingEnded {
-                flow: flow.clone(),
-                attempt: 0,
-                real_server: WORKER.into(),
-                outcome: outcome.into(),
-                elapsed_us: (ends_at - sent_at) * 1_000_000,
-                free_slots: None,
-                queue: None,
-            },
-        ),
-        (
-            ends_at,
-            What::Answered {
-                flow,
-                class: "once".into(),
-                answer: if outcome == "served" { "served" } else { "failed" }.into(),
-                after_us: (ends_at - sent_at) * 1_000_000,
-            },
+        format!(r#""kind":"run_started","name":"n{run}","program":"0""#),
+        format!(r#""kind":"flow_taken",{flow},"class":"once","time_left_us":9000000"#),
+        format!(r#""kind":"decided",{flow},"choice":"send","real_server":"r0","estimate_us":1000000"#),
+        format!(r#""kind":"scheduling_sent",{flow},"attempt":0,"real_server":"r0""#),
+        format!(r#""kind":"answered",{flow},"class":"once","answer":"{answer}","after_us":{took}"#),
+        format!(
+            r#""kind":"scheduling_ended",{flow},"attempt":0,"real_server":"r0","outcome":"{outcome}","elapsed_us":{took}"#
         ),
     ];
-    let record = |(seq, (at, what)): (usize, (u64, What))| Record {
-        v: FORMAT,
-        run: run.into(),
-        seq: seq as u64,
-        unix_us: at * 1_000_000,
-        mono_us: (at - sent_at) * 1_000_000,
-        what,
+    let line = |(seq, what): (usize, String)| {
+        let at = if seq < 4 { sent_at } else { ends_at };
+        format!(r#"{{"v":1,"run":"{run}","seq":{seq},"unix_us":{at}000000,"mono_us":0,"what":{{{what}}}}}"#)
+            + "\n"
     };
-    whats.into_iter().enumerate().map(record).collect()
+    whats.into_iter().enumerate().map(line).collect()
 }
 
-fn summed(streams: &[Vec<Record>]) -> String {
+fn sum(text: &str) -> Fleet {
     let mut fleet = Fleet::default();
-    for record in streams.iter().flatten() {
-        fleet.add(&Line::Record(record.clone()));
+    for line in Reader::new(text.as_bytes()) {
+        fleet.add(&line.expect("a line").1);
     }
-    fleet.text(5, 10)
+    fleet
+}
+
+fn summed(streams: &[Vec<String>]) -> String {
+    sum(&streams.concat().concat()).text(5, 10)
 }
 
 #[test]
@@ -95,19 +63,11 @@
 
 #[test]
 fn log_lines_between_the_records_are_counted_and_passed_over() {
-    let mut bytes = b"12:00 INFO ready\n".to_vec();
-    for record in stream("1", 100, 101, "served") {
-        // A stamp of whoever gathered them.
-        bytes.extend(b"[0.54] ");
-        bytes.extend(serde_json::to_vec(&record).expect("JSON"));
-        bytes.push(b'\n');
-    }
-    bytes.extend(b"{\"v\":1,\"run\":\"2\",{\"v\":1}\n");
-    let mut fleet = Fleet::default();
-    for line in Reader::new(&bytes[..]) {
-        fleet.add(&line.expect("a line").1);
-    }
+    // A stamp of whoever gathered them; and half a record with another behind it.
+    let stamped =
+        stream("1", 100, 101, "served").iter().map(|line| format!("[0.54] {line}")).collect::<String>();
+    let fleet = sum(&format!("12:00 INFO ready\n{stamped}{}\n", r#"{"v":1,"run":"2",{"v":1}"#));
     assert!(fleet.text(1, 0).starts_with("1 schedulers, 1 runs, 0 records missing, 2 other lines\n"));
     assert!(fleet.text(0, 0).ends_with("1 more workers\n"), "a window of 0 is taken as 1");
-    assert_eq!(Fleet::default().text(5, 5), "0 schedulers, 0 runs, 0 records missing, 0 other lines\n");
+    assert_eq!(sum("").text(5, 5), "0 schedulers, 0 runs, 0 records missing, 0 other lines\n");
 }
