--- a/crates/lab/tests/vast.rs
+++ b/crates/lab/tests/vast.rs
@@ -56,7 +56,9 @@
 /// The same fleets three times as large, as on the operators' standing test: 300 schedulers and 180 workers,
 /// each scheduler with the same few jobs a second. Seeds 1 to 3 gave 0.584 (release: seven in ten
 /// schedulers killed within a second and back a second later), 0.677 (replaced) and 0.863 (zone), none
-/// over a cold worker's budget; on the release two choices at random gave 0.475 with 108 workers fallen.
+/// over a cold worker's budget; at 100 the same seeds gave 0.607, 0.679 and 0.859. On the release of seed 1
+/// two choices at random gave 0.475 with 108 workers fallen: the check below that it fails keeps this
+/// test from passing on a scenario in which no budget is ever at stake.
 #[test]
 fn three_hundred_schedulers_keep_every_rule_and_the_worth_that_they_had() {
     let larger = |text: &str| {
@@ -74,5 +76,10 @@
         assert!(text.contains("schedulers = 300") && text.contains("count = 78"), "{name}: not scaled");
         let share = served(&text, 1..4);
         assert!(share > least, "{name}: {share}");
+        if name == "release" {
+            let scenario = Scenario::read(&text).expect("a scenario");
+            let plain = play(&scenario, Kind::TwoChoices, 1).expect("it plays");
+            assert!(plain.fell > 0 || plain.worth.share() <= least, "release: two choices pass it");
+        }
     }
 }
