Give the module probes to ask for, and what jobs and workers tell of memory

Change. interface.rs: Action::Probe, Timer::Probe, reports_by_probe and price_probe from the settings, Job::memory, Report::free_memory; read in platform.rs, the node's front and back, the adapter. Nothing decides by them yet: the module asks for no probe, and the node passes one over.

Nothing was measured on this change.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -406,6 +406,7 @@
             Event::Timer(Timer::Sweep) => self.on_sweep(now, actions),
             Event::Timer(Timer::Discovery) => self.on_discovery_timer(actions),
             Event::Timer(Timer::Check(request)) => self.on_check(now, request, actions),
+            Event::Timer(Timer::Probe) => {}
             Event::Probed { worker, outcome, report } => self.on_probed(now, worker, outcome, report),
         }
     }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -126,6 +126,10 @@
     pub may_cancel: bool,
     /// Workers tell when a job starts.
     pub tells_start: bool,
+    /// Workers tell their load only when they are probed, and probing is allowed.
+    pub reports_by_probe: bool,
+    /// Price of a probe, as worth lost for each first try.
+    pub price_probe: f64,
     /// Price of sending an attempt to another zone, as worth lost for each first try.
     pub price_cross_zone: f64,
     /// A listed size is the worker's own, divided by 1 and the jobs it held a core some time before.
@@ -152,6 +156,8 @@
             second_copies: false,
             may_cancel: false,
             tells_start: false,
+            reports_by_probe: false,
+            price_probe: 0.0,
             price_cross_zone: 0.0,
             live_sizes: false,
         }
@@ -239,6 +245,8 @@
     pub tenant: u32,
     /// The slots it takes while it runs; absent is 1.
     pub slots: Option<f64>,
+    /// The units of memory that it takes while it runs, of which a worker has one for each slot; absent is 0.
+    pub memory: Option<f64>,
     /// The hint of its running time on a standard core, in seconds.
     pub cost_hint: Option<f64>,
     /// How long until the client gives up on this try.
@@ -247,7 +255,15 @@
 
 impl Default for Job {
     fn default() -> Self {
-        Job { request: RequestId(0), class: 0, tenant: 0, slots: None, cost_hint: None, time_left: SECOND }
+        Job {
+            request: RequestId(0),
+            class: 0,
+            tenant: 0,
+            slots: None,
+            memory: None,
+            cost_hint: None,
+            time_left: SECOND,
+        }
     }
 }
 
@@ -292,6 +308,8 @@
     pub qps: Option<f64>,
     /// Free slots.
     pub free_slots: Option<f64>,
+    /// Free units of memory.
+    pub free_memory: Option<f64>,
 }
 
 /// The end of one attempt.
@@ -331,6 +349,8 @@
     Discovery,
     /// A look at one request.
     Check(RequestId),
+    /// The next probe is due.
+    Probe,
 }
 
 /// What happens to a dispatcher.
@@ -423,4 +443,9 @@
     },
     /// Subscribe to the roster's changes.
     Subscribe,
+    /// Ask a worker for its load; [`Event::Probed`] tells what came of it, once for each.
+    Probe {
+        /// The worker.
+        worker: WorkerId,
+    },
 }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -34,6 +34,7 @@
     #[serde(borrow)]
     params: Option<&'a RawValue>,
     width: Option<f64>,
+    memory: Option<f64>,
     org: Option<u32>,
     category: Option<u32>,
     expires_in_s: Option<f64>,
@@ -70,6 +71,7 @@
     cpu: Option<f64>,
     rps: Option<f64>,
     x0: Option<f64>,
+    x1: Option<f64>,
 }
 
 /// Why a message led to nothing.
@@ -120,12 +122,20 @@
 }
 
 fn report(load: &Load) -> Report {
-    Report { queue: load.waiting, inflight: load.active, util: load.cpu, qps: load.rps, free_slots: load.x0 }
+    Report {
+        queue: load.waiting,
+        inflight: load.active,
+        util: load.cpu,
+        qps: load.rps,
+        free_slots: load.x0,
+        free_memory: load.x1,
+    }
 }
 
 fn timer(cookie: &str) -> Option<Timer> {
     match cookie {
         "sweep" => Some(Timer::Sweep),
+        "probe" => Some(Timer::Probe),
         "discovery" => Some(Timer::Discovery),
         _ => hex_id(cookie).ok().map(Timer::Check),
     }
@@ -199,6 +209,7 @@
                 class: need(line.category, line, "category")?,
                 tenant: line.org.unwrap_or(0),
                 slots: line.width,
+                memory: line.memory,
                 cost_hint: line.work_s,
                 time_left: micros(need(line.expires_in_s, line, "expires_in_s")?),
             }),
@@ -320,6 +331,7 @@
             write!(out, r#"{{"kind":"wake_at","node_id":"{node}","span_s":{},"cookie":""#, seconds(after))?;
             match timer {
                 Timer::Sweep => out.write_all(b"sweep")?,
+                Timer::Probe => out.write_all(b"probe")?,
                 Timer::Discovery => out.write_all(b"discovery")?,
                 Timer::Check(request) => write!(out, "{:016x}", request.0)?,
             }
@@ -328,6 +340,10 @@
         Action::Subscribe => {
             writeln!(out, r#"{{"kind":"listen","node_id":"{node}","enable":true}}"#)
         }
+        Action::Probe { worker } => {
+            let name = &instance.names[worker.0 as usize];
+            writeln!(out, r#"{{"kind":"probe","node_id":"{node}","executor":"{name}"}}"#)
+        }
     }
 }
 
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -552,6 +552,7 @@
             class: asked.of.class,
             tenant: 0,
             slots: Some(asked.of.slots),
+            memory: None,
             cost_hint: asked.of.hint,
             time_left: deadline.saturating_sub(self.now),
         };
@@ -592,6 +593,8 @@
                     }
                 }
                 Action::Subscribe => {}
+                // The model's workers tell their load with every answer.
+                Action::Probe { .. } => {}
             }
         }
         self.actions = actions;
--- a/crates/node/src/decisions.rs
+++ b/crates/node/src/decisions.rs
@@ -105,6 +105,8 @@
                     self.subscribe.notify_one();
                     continue;
                 }
+                // The module asks for none yet.
+                Action::Probe { .. } => continue,
             };
             let delivered = inner.flows.get(&request).is_some_and(|flow| flow.send(mail).is_ok());
             invariant!(delivered, "an action finds its flow");
--- a/crates/node/src/witness.rs
+++ b/crates/node/src/witness.rs
@@ -101,7 +101,7 @@
             }
             Action::Fail { request } => (request, Choice::Fail),
             Action::Cancel { request, attempt } => (request, Choice::Cancel { attempt: *attempt }),
-            Action::Wake { .. } | Action::Subscribe => return,
+            Action::Wake { .. } | Action::Subscribe | Action::Probe { .. } => return,
         };
         self.recorder.record(What::Decided { flow: id(*request), choice });
     }
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -115,6 +115,9 @@
         second_copies: flag(permissions, "second_copies")?.unwrap_or(false),
         may_cancel: flag(permissions, "may_cancel")?.unwrap_or(false),
         tells_start: flag(family, "tells_start")?.unwrap_or(false),
+        reports_by_probe: flag(permissions, "probes")?.unwrap_or(false)
+            && text(part("load_info"), "how")? == Some("pull"),
+        price_probe: number(part("penalties"), "probe")?.unwrap_or(0.0),
         price_cross_zone: number(part("penalties"), "cross_zone")?.unwrap_or(0.0),
         live_sizes: text(params, "weights")? == Some("live"),
     };
