Wait in order at workers that start jobs in order, and probe where nothing else tells

A served answer without a report also overwrote what a probe had told (settle); own jobs sent within a report's age counted as told by it, so dispatchers took each other's jobs for their own (on_report).

Settings check themselves in interface.rs.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -10,6 +10,8 @@
 
 /// Attempts kept for one request; a site that allows more is held to this many.
 const MAX_ATTEMPTS: usize = 8;
+/// Jobs of one worker that are told apart.
+const MAX_RUNNING: usize = 64;
 /// Workers compared for one job, from a random place on: more would cost more than they find.
 const SCAN_MOST: usize = 200;
 /// The regular round over all workers: short beside the seconds in which roles and rates change.
@@ -29,16 +31,19 @@
 const SLOTS_AT_FIRST: f64 = 2.0;
 /// Share of a kind's slots taken by others before any report has come.
 const BUSY_AT_FIRST: f64 = 0.5;
-/// Trust in a report that has just come: it was made some time before, and jobs came and went since.
-/// Small, as reports come up to seconds late and the jobs sent on their word all meet there.
-const REPORT_TRUST: f64 = 0.15;
+/// Age of what a report tells when it comes: workers renew it about once a second, and it travels.
+const REPORT_AGE: Micros = 800_000;
+/// All ready workers are probed once in this time, about as often as what they tell is renewed.
+const PROBE_ROUND: Micros = SECOND;
+/// What a job's probes may cost of its worth.
+const PROBE_SPEND: f64 = 0.01;
+/// Most probes saved up.
+const PROBES_SAVED: f64 = 20.0;
 /// Weight of one report in the fleet's level of load: about the last ten count, a few seconds.
 const LEVEL_GAIN: f64 = 0.1;
 /// Most that one report adds to the level, in shares of slots.
 const LEVEL_CAP: f64 = 2.0;
-/// Most by which a kind's or a zone's load is taken to differ from what was expected.
-const SKEW_MOST: f64 = 5.0;
-/// Weight of one report in how a kind or a zone differs: about the last twenty count.
+/// Weight of one figure in a slow mean: about the last twenty count.
 const BUSY_GAIN: f64 = 0.05;
 /// Weight of one report in a kind's slots when it shows more than is known; noise is up to a fifth.
 const SLOTS_UP: f64 = 0.6;
@@ -69,8 +74,6 @@
 /// Copies earned by each job: bounds what copies add to the load where a cancelled one still runs,
 /// or still waits and then runs. Each is one job more for workers that were late already.
 const COPY_EARNED: f64 = 0.03;
-/// Copies saved up at the start.
-const COPIES_AT_FIRST: f64 = 1.0;
 /// Most copies that can be saved up.
 const COPY_SAVED: f64 = 3.0;
 /// Shortest wait before that, so that start notes under way arrive first.
@@ -93,12 +96,10 @@
 const SHED_MOST: f64 = 0.7;
 /// How fast the price below which jobs are shed follows what is offered.
 const SHED_GAIN: f64 = 0.1;
-/// The ranking counts the excess this many times: the time it costs the job itself and, about twice
-/// as much, those that wait behind it. At 1 all crowd onto the fast kind, at 5 they spread too thin.
+/// The ranking counts the wait this many times: the job's own, and that of those that come behind it.
 const CROWD: f64 = 3.0;
-/// Makes a hyperbola follow the mean of a normal figure's part above 0: both agree at a mean of 0,
-/// where it is 0.4 standard deviations, and far from it.
-const SPREAD: f64 = 0.64;
+/// A job that has run for longer than expected goes on for this part of that at the least.
+const OVERRUN: f64 = 0.1;
 /// Share of a cold worker's budget that all may use. What one sends counts for a whole window, so that none
 /// sends more than its part in any; the rest is for dispatchers that judge the worker's capacity unlike.
 const COLD_AIM: f64 = 0.9;
@@ -108,9 +109,7 @@
 const COLD_JOBS: f64 = 4.0;
 /// Shortest believable job: keeps the typical job time, by which is divided, above 0.
 const SHORTEST_JOB: Micros = 1_000;
-/// Longest believable hint, in seconds; beyond it counts as absent.
-const MAX_HINT: f64 = 1e5;
-/// Largest believable count of slots or memory units.
+/// Largest believable count of slots or memory units, and hint in seconds; beyond it they count as absent.
 const MAX_UNITS: f64 = 1e4;
 /// Weight of one outcome in a worker's share of failures.
 const FAULT_GAIN: f64 = 0.2;
@@ -152,54 +151,19 @@
     }
 }
 
-/// How loaded some workers are against what was expected of them.
-#[derive(Clone, Copy, Debug)]
-struct Skew {
-    seen: f64,
-    expected: f64,
-}
-
-impl Default for Skew {
-    fn default() -> Self {
-        Skew { seen: BUSY_AT_FIRST, expected: BUSY_AT_FIRST }
-    }
-}
-
-impl Skew {
-    fn learn(&mut self, seen: f64, expected: f64) {
-        self.seen += (seen - self.seen) * BUSY_GAIN;
-        self.expected += (expected - self.expected) * BUSY_GAIN;
-    }
-
-    fn ratio(&self) -> f64 {
-        (self.seen / self.expected.max(1e-3)).clamp(1.0 / SKEW_MOST, SKEW_MOST)
-    }
-}
-
 /// What is known of the workers of one kind, or of all.
 #[derive(Clone, Copy, Debug, Default)]
 struct Pool {
     rate: Rate,
     /// Slots of one worker of the kind.
     slots: Option<f64>,
-    /// Its share of slots taken against the fleet's.
-    skew: Skew,
-    /// Sums of reported requests a second and shares of busy cores, fading.
-    qps: f64,
-    util: f64,
     /// Share of attempts turned away unseen.
     full: f64,
     /// Largest size listed: one of an idle worker.
     size: f64,
 }
 
-impl Pool {
-    fn learn_full(&mut self, full: bool) {
-        self.full += (f64::from(full) - self.full) * BUSY_GAIN;
-    }
-}
-
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Worker {
     state: WorkerState,
     zone: u32,
@@ -208,7 +172,10 @@
     started_at: Option<Micros>,
     /// Slots of this dispatcher's unfinished jobs here.
     own_slots: f64,
-    own_jobs: u32,
+    /// This dispatcher's unfinished jobs here, in the order in which they were sent.
+    jobs: Vec<Held>,
+    /// When those that ended last did, when they were sent, and their slots.
+    ended: VecDeque<(Micros, Micros, f64)>,
     rate: Rate,
     /// Work a second of one job alone on one slot, as used in estimates.
     service_rate: f64,
@@ -233,6 +200,20 @@
     taste: f64,
 }
 
+/// One of this dispatcher's unfinished jobs at a worker.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    request: RequestId,
+    attempt: u32,
+    slots: f64,
+    memory: f64,
+    sent_at: Micros,
+    /// How long it runs, in seconds, and when it ends: from its start on, or where starts are not told.
+    lasts: f64,
+    started: Option<Micros>,
+    ends: Option<Micros>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     worker: u32,
@@ -252,6 +233,7 @@
 struct Request {
     class: usize,
     slots: f64,
+    memory: f64,
     /// The cost hint, or the usual time of its class, or 1.
     work: f64,
     hinted: bool,
@@ -274,24 +256,24 @@
 }
 
 /// The decisions of one dispatcher. See [`Dispatcher::handle`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
     settings: Settings,
     rng: fastrand::Rng,
     workers: Vec<Worker>,
     kinds: Vec<Pool>,
-    zones: Vec<Skew>,
     /// Mean share of slots that is taken, by all dispatchers, waiting jobs included.
     busy: f64,
     fleet: Pool,
     /// The lowest taste of the ready workers is about 1 with this.
     usual_taste: f64,
+    /// The worker probed last, and the probes that may be sent now.
+    probed: usize,
+    probes: f64,
     requests: FxHashMap<RequestId, Request>,
     /// Time from sending to a served answer, in seconds.
     job_time: f64,
     started_at: Option<Micros>,
-    /// Work offered to this dispatcher since its start.
-    offered: f64,
     /// Worth per slot-second below which jobs are shed while slots are scarce.
     shed_below: f64,
     /// For each tenant, its requests a second here and when that was true.
@@ -301,6 +283,9 @@
     /// Work times slots of a job, and slots of a job, on average.
     mean_load: f64,
     mean_slots: f64,
+    /// Work squared times slots, and memory.
+    mean_square: f64,
+    mean_memory: f64,
     version: u64,
     subscribed: bool,
     /// A call to discovery is under way or has a timer.
@@ -329,64 +314,56 @@
     figure.filter(|&x| x.is_finite() && x > 0.0 && x <= most)
 }
 
+/// What runs at a worker that starts its jobs in order, the first as soon as it fits.
+struct Queue {
+    slots: f64,
+    /// Free slots and units of memory.
+    free: (f64, f64),
+    /// When the last job started.
+    at: f64,
+    /// For each job that runs, when it ends, its slots and its memory.
+    running: ArrayVec<(f64, f64, f64), MAX_RUNNING>,
+}
+
+impl Queue {
+    /// When the next job starts, in seconds.
+    fn start(&mut self, slots: f64, memory: f64, lasts: f64) -> f64 {
+        let (slots, memory) = (slots.min(self.slots), memory.min(self.slots));
+        while self.free.0 < slots - 0.01 || self.free.1 < memory - 0.01 {
+            let ends = self.running.iter().enumerate().min_by(|a, b| a.1.0.total_cmp(&b.1.0));
+            let Some((first, _)) = ends else { break };
+            let (ended, slots, memory) = self.running.swap_remove(first);
+            self.at = self.at.max(ended);
+            self.free = (self.free.0 + slots, self.free.1 + memory);
+        }
+        self.free = (self.free.0 - slots, self.free.1 - memory);
+        // Past the bound the queue is so long that one job more tells nothing.
+        let _ = self.running.try_push((self.at + lasts, slots, memory));
+        self.at
+    }
+}
+
 impl Dispatcher {
     /// Makes a dispatcher from what it is told at its start; `seed` settles all its chance.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        if settings.classes.is_empty() {
-            return Err(SettingsError("no class of jobs"));
-        }
-        if settings.fleet_size == 0 {
-            return Err(SettingsError("a fleet of no dispatchers"));
-        }
-        if settings.max_attempts == 0 {
-            return Err(SettingsError("no attempt allowed"));
-        }
-        let in_share = |x: f64| x > 0.0 && x <= 1.0;
-        if !in_share(settings.cold_from) {
-            return Err(SettingsError("the cold share is not above 0 and up to 1"));
-        }
-        if !(settings.fall_multiple > 0.0 && settings.fall_multiple.is_finite()) {
-            return Err(SettingsError("the multiple of the cold budget is not above 0"));
-        }
-        if !(0.0..=1.0).contains(&settings.over_share_worth) {
-            return Err(SettingsError("the worth beyond a share is not between 0 and 1"));
-        }
-        for class in &settings.classes {
-            if !(class.stretch >= 0.0 && class.stretch.is_finite()) {
-                return Err(SettingsError("a class's stretch is negative or no number"));
-            }
-            if !(class.worth >= 0.0 && class.worth.is_finite()) {
-                return Err(SettingsError("a class's worth is negative or no number"));
-            }
-        }
+        settings.check()?;
         let longest_try = vec![0; settings.classes.len()];
         let class_time = vec![Rate::default(); settings.classes.len()];
         let tenants = vec![(0.0, 0); settings.tenants.len()];
         Ok(Dispatcher {
             settings,
             rng: fastrand::Rng::with_seed(seed),
-            workers: Vec::new(),
-            kinds: Vec::new(),
-            zones: Vec::new(),
             busy: BUSY_AT_FIRST,
-            fleet: Pool::default(),
             usual_taste: 1.0,
-            requests: FxHashMap::default(),
             job_time: 1.0,
-            started_at: None,
-            offered: 0.0,
-            shed_below: 0.0,
             tenants,
-            copies: COPIES_AT_FIRST,
+            probes: PROBES_SAVED,
             mean_load: 1.0,
             mean_slots: 1.0,
-            version: 0,
-            subscribed: false,
-            asking: false,
-            failed_calls: 0,
+            mean_square: 1.0,
             class_time,
             longest_try,
-            short: 0.0,
+            ..Dispatcher::default()
         })
     }
 
@@ -404,9 +381,11 @@
             }
             Event::Gone(request) => self.finish(request, actions),
             Event::Timer(Timer::Sweep) => self.on_sweep(now, actions),
-            Event::Timer(Timer::Discovery) => self.on_discovery_timer(actions),
+            // Stays `asking` until the one roster event that answers the call.
+            Event::Timer(Timer::Discovery) if !self.subscribed => actions.push(Action::Subscribe),
+            Event::Timer(Timer::Discovery) => {}
             Event::Timer(Timer::Check(request)) => self.on_check(now, request, actions),
-            Event::Timer(Timer::Probe) => {}
+            Event::Timer(Timer::Probe) => self.on_probe_timer(actions),
             Event::Probed { worker, outcome, report } => self.on_probed(now, worker, outcome, report),
         }
     }
@@ -414,6 +393,10 @@
     fn start(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.started_at = Some(now);
         actions.push(Action::Wake { after: SWEEP, timer: Timer::Sweep });
+        if self.settings.reports_by_probe {
+            let after = self.rng.u64(0..=PROBE_ROUND / 10);
+            actions.push(Action::Wake { after, timer: Timer::Probe });
+        }
         if self.settings.discovery == Discovery::OnRequest {
             let most = secs(self.settings.ask_within) * SUBSCRIBE_SPREAD;
             let spread = secs(SUBSCRIBE_EACH * Micros::from(self.settings.fleet_size)).min(most);
@@ -425,13 +408,6 @@
 
     // ---- Discovery -------------------------------------------------------------------------
 
-    fn on_discovery_timer(&mut self, actions: &mut Vec<Action>) {
-        // Stays `asking` until the one roster event that answers the call.
-        if self.settings.discovery == Discovery::OnRequest && !self.subscribed {
-            actions.push(Action::Subscribe);
-        }
-    }
-
     fn on_roster(&mut self, now: Micros, roster: Roster<'_>, actions: &mut Vec<Action>) {
         match roster.kind {
             RosterKind::Failed => {
@@ -519,41 +495,16 @@
     fn enter(&mut self, now: Micros, entry: &WorkerEntry) {
         let index = entry.worker.0 as usize;
         let kind = entry.kind as usize;
-        let zone = entry.zone as usize;
         // Ids are given out densely; a wild one would only ask for memory.
-        if index > self.workers.len() + 100_000 || kind > 10_000 || zone > 10_000 {
+        if index > self.workers.len() + 100_000 || kind > 10_000 {
             return;
         }
-        if zone >= self.zones.len() {
-            self.zones.resize(zone + 1, Skew::default());
-        }
         if kind >= self.kinds.len() {
             self.kinds.resize(kind + 1, Pool::default());
         }
         while self.workers.len() <= index {
-            self.workers.push(Worker {
-                state: WorkerState::Gone,
-                zone: 0,
-                kind: 0,
-                cell: 0,
-                started_at: None,
-                own_slots: 0.0,
-                own_jobs: 0,
-                rate: Rate::default(),
-                service_rate: 0.0,
-                faults: 0.0,
-                class_faults: vec![0.0; self.settings.classes.len()],
-                others: 0.0,
-                others_at: None,
-                size: None,
-                listed: 0.0,
-                listed_mean: 0.0,
-                listed_at: None,
-                cold_sent: VecDeque::new(),
-                key: 0,
-                place: None,
-                taste: 1.0,
-            });
+            let class_faults = vec![0.0; self.settings.classes.len()];
+            self.workers.push(Worker { class_faults, taste: 1.0, ..Worker::default() });
         }
         let worker = &mut self.workers[index];
         if entry.started_at != worker.started_at && entry.started_at.is_some_and(|t| t > 0) {
@@ -572,10 +523,8 @@
                 worker.taste = (-(1.0 - self.rng.f64()).ln()).powf(TASTE);
             }
         }
-        worker.state = entry.state;
-        worker.zone = entry.zone;
-        worker.kind = entry.kind;
-        worker.cell = entry.cell;
+        (worker.state, worker.zone, worker.kind, worker.cell) =
+            (entry.state, entry.zone, entry.kind, entry.cell);
         worker.started_at = entry.started_at.filter(|&t| t > 0);
         self.refresh_rate(now, index);
     }
@@ -589,7 +538,7 @@
         let worker = &mut self.workers[index];
         let pool = (kind.weight * kind.log_mean + SHRINK * fleet.log_mean) / (kind.weight + SHRINK);
         let mut weight = worker.rate.weight;
-        if worker.own_jobs == 0 {
+        if worker.jobs.is_empty() {
             let idle = secs(now.saturating_sub(worker.rate.at));
             weight *= 0.5_f64.powf(idle / (DRIFT_JOBS * self.job_time));
         }
@@ -621,29 +570,23 @@
     }
 
     /// Takes a worker's report: what the other dispatchers have there, and what its kind is like.
-    fn on_report(&mut self, now: Micros, index: usize, report: &Report, own_slots: f64, full: bool) {
+    fn on_report(&mut self, now: Micros, index: usize, report: &Report, full: bool) {
         let kind = self.workers[index].kind as usize;
         let figure = |x: Option<f64>| x.filter(|&x| (0.0..=MAX_UNITS).contains(&x));
-        let waiting = figure(report.queue).unwrap_or(0.0) * self.mean_slots;
+        let (inflight, queue) = (figure(report.inflight), figure(report.queue));
+        let waiting = queue.unwrap_or(0.0) * self.mean_slots;
         let mut total = if let Some(free) = figure(report.free_slots) {
-            let running = figure(report.inflight).zip(figure(report.queue));
-            let running = running.map_or(0.0, |(held, queue)| (held - queue).max(0.0));
+            let running = inflight.zip(queue).map_or(0.0, |(held, queue)| (held - queue).max(0.0));
             self.learn_slots(kind, free + running);
-            (self.slots_of(&self.workers[index]) - free).max(0.0) + waiting
-        } else if let Some(util) = figure(report.util) {
-            // Jobs served a second, their mean work and the rate of a slot tell the busy slots.
-            if let Some(qps) = figure(report.qps).filter(|&qps| qps > 0.0 && util > 0.0) {
-                let rate = self.kinds[kind].rate.log_mean.exp();
-                let pool = &mut self.kinds[kind];
-                pool.qps += (qps - pool.qps) * BUSY_GAIN;
-                pool.util += (util - pool.util) * BUSY_GAIN;
-                pool.slots = Some((pool.qps / pool.util * self.mean_load / rate).clamp(1.0, MAX_UNITS));
-            }
-            util * self.slots_of(&self.workers[index]) + waiting
+            let taken = (self.slots_of(&self.workers[index]) - free).max(0.0);
+            // Where the jobs that wait are not told, they are those held beyond the slots taken.
+            let held = inflight.filter(|_| queue.is_none()).unwrap_or(0.0) * self.mean_slots;
+            held.max(taken) + waiting
         } else {
             // Nothing reported: an answer says only that the worker was not full. Guards against a
             // level that hears of full answers alone and never falls.
-            BUSY_AT_FIRST * self.slots_of(&self.workers[index])
+            let util = figure(report.util).unwrap_or(BUSY_AT_FIRST);
+            util * self.slots_of(&self.workers[index]) + waiting
         };
         let slots = self.slots_of(&self.workers[index]);
         if full {
@@ -653,31 +596,49 @@
         }
         let mean = self.fleet.slots.get_or_insert(slots);
         *mean += (slots - *mean) * BUSY_GAIN;
-        // The level of load moves fast and is learned from every report; how kinds and zones
-        // differ moves slowly and is learned apart.
-        let taken = total / slots;
         // Guards against a few sick workers whose long queues would pass for a lack of slots.
-        let taken = taken.min(LEVEL_CAP);
+        let taken = (total / slots).min(LEVEL_CAP);
         self.busy += (taken - self.busy) * LEVEL_GAIN;
-        let kind = &mut self.kinds[kind].skew;
-        kind.learn(taken, self.busy);
-        // A zone against what its kinds carry, so that the level is not explained away twice.
-        self.zones[self.workers[index].zone as usize].learn(taken, self.busy * kind.ratio());
+        // What is told was so some time ago: own jobs sent since are not in it, some that ended are.
+        // Guards against dispatchers that take each other's jobs for their own and meet there.
+        let then = now.saturating_sub(REPORT_AGE);
         let worker = &mut self.workers[index];
-        worker.others = (total - own_slots).max(0.0);
+        let out = worker.jobs.iter().map(|held| (held.sent_at, held.slots));
+        let ended = worker.ended.iter().filter(|&&(ended, ..)| ended >= then);
+        let own = out.chain(ended.map(|&(_, sent_at, slots)| (sent_at, slots)));
+        let own: f64 = own.filter(|&(sent_at, _)| sent_at <= then).map(|(_, slots)| slots).sum();
+        worker.others = (total - own).max(0.0);
         worker.others_at = Some(now);
     }
 
-    /// A probe that the node made by itself tells the same as an answer to a job.
+    /// Probes the ready workers in turn, as far as this dispatcher's jobs have earned it. Guards against a
+    /// large fleet that probes without end, at a price and at the workers' cost.
+    fn on_probe_timer(&mut self, actions: &mut Vec<Action>) {
+        let count = self.workers.len();
+        let ready = |&index: &usize| self.workers[index].state == WorkerState::Ready;
+        let next = (1..=count).map(|step| (self.probed + step) % count).find(ready);
+        if let Some(index) = next.filter(|_| self.probes >= 1.0) {
+            self.probes -= 1.0;
+            self.probed = index;
+            actions.push(Action::Probe { worker: WorkerId(index as u32) });
+        }
+        let ready = (0..count).filter(ready).count().max(1);
+        actions.push(Action::Wake { after: PROBE_ROUND / ready as Micros, timer: Timer::Probe });
+    }
+
+    /// What a probe tells. One that was not answered in time waited behind jobs, as those do: it says as
+    /// much as a job that was turned away, and nothing of faults.
     fn on_probed(&mut self, now: Micros, worker: WorkerId, outcome: Outcome, report: Option<Report>) {
         let index = worker.0 as usize;
         if index >= self.workers.len() {
             return;
         }
-        self.learn_fault(index, None, outcome);
-        if let Some(report) = report {
-            let own_slots = self.workers[index].own_slots;
-            self.on_report(now, index, &report, own_slots, false);
+        let late = outcome == Outcome::TimedOut;
+        if !late {
+            self.learn_fault(index, None, outcome);
+        }
+        if late || report.is_some() {
+            self.on_report(now, index, &report.unwrap_or_default(), late);
         }
     }
 
@@ -728,9 +689,7 @@
             let part = 1.0 / f64::from(self.settings.fleet_size);
             return (all * (1.0 - part), all * (1.0 - fresh * fresh));
         }
-        // Guards against a crowded zone that keeps its crowd while its kinds look usual elsewhere.
-        let skew = self.kinds[worker.kind as usize].skew.ratio() * self.zones[worker.zone as usize].ratio();
-        let mean = self.busy * skew * slots;
+        let mean = self.busy * slots;
         // This dispatcher's own jobs are a sample of all: the more it has here, the more its
         // peers, who judge alike, are likely to have. Guards against late and missing reports.
         let part = 1.0 / f64::from(self.settings.fleet_size);
@@ -740,8 +699,9 @@
             None => (usual, usual),
             Some(at) => {
                 // Falls about as the exponential, at less cost.
-                let aged = 1.0 + secs(now.saturating_sub(at)) / (2.0 * self.job_time);
-                let fresh = REPORT_TRUST / (aged * aged);
+                let age = secs(now.saturating_sub(at) + REPORT_AGE);
+                let aged = 1.0 + age / (2.0 * self.job_time);
+                let fresh = 1.0 / (aged * aged);
                 (usual + (worker.others - usual) * fresh, usual * (1.0 - fresh * fresh))
             }
         }
@@ -760,16 +720,40 @@
 
     // ---- The estimate and the gate ---------------------------------------------------------
 
-    /// Eq. (1): the job's time at a worker. Where the paper knows all jobs there, a dispatcher
-    /// knows its own and expects the others', so that it does not crowd onto one quick worker
-    /// together with its peers; the excess over the slots is a mean over what they may hold.
+    /// The job's time at a worker: its running time and its wait, where eq. (1) shares the worker out among
+    /// all jobs there, as these workers start jobs in order. The wait is a mean over what others may hold.
     fn estimate(&self, now: Micros, worker: &Worker, job: &Request) -> (f64, f64) {
         let alone = job.work / worker.service_rate;
         let slots = self.slots_of(worker);
         let (others, variance) = self.others(now, worker, slots);
-        let over = worker.own_slots + job.slots + others - slots;
-        let excess = 0.5 * (over + (over * over + SPREAD * variance).sqrt());
-        (alone * (1.0 + excess / slots), alone * (1.0 + CROWD * excess / slots))
+        let wait = |others| self.wait(now, worker, job, slots, others);
+        let (few, many) = ((others - variance.sqrt()).max(0.0), others + variance.sqrt());
+        let wait = 0.25 * (wait(few) + wait(many)) + 0.5 * wait(others);
+        (alone + wait, alone + CROWD * wait)
+    }
+
+    /// How long a job waits at a worker that starts its jobs in order, the first as soon as it fits: behind
+    /// this dispatcher's jobs there, and so many slots of others'.
+    fn wait(&self, now: Micros, worker: &Worker, job: &Request, slots: f64, others: f64) -> f64 {
+        let mut queue = Queue { slots, free: (slots, slots), at: 0.0, running: ArrayVec::new() };
+        for held in &worker.jobs {
+            if let Some(ends) = held.ends {
+                let left = (ends as f64 - now as f64) / SECOND as f64;
+                queue.start(held.slots, held.memory, left.max(OVERRUN * held.lasts));
+            }
+        }
+        // Others' jobs are met at random moments of theirs, long ones more often than short ones.
+        let left = 0.5 * self.mean_square / self.mean_load / worker.service_rate;
+        let parts = (others / self.mean_slots).ceil().min(32.0);
+        let each = others / parts;
+        for part in 0..parts as u32 {
+            let ends = -left * (1.0 - (f64::from(part) + 0.5) / parts).ln();
+            queue.start(each, each * self.mean_memory / self.mean_slots, ends);
+        }
+        for held in worker.jobs.iter().filter(|held| held.ends.is_none()) {
+            queue.start(held.slots, held.memory, held.lasts);
+        }
+        queue.start(job.slots, job.memory, 0.0)
     }
 
     /// The share of attempts at a worker that end in an answer. The ranking divides by it: guards
@@ -921,7 +905,7 @@
         if self.requests.contains_key(&job.request) {
             return;
         }
-        let hint = sane(job.cost_hint, MAX_HINT);
+        let hint = sane(job.cost_hint, MAX_UNITS);
         let settings = &self.settings.classes[class];
         // Time spent before this try. Where every try is shortened, the time left says nothing
         // unless it falls below that of a first try.
@@ -939,6 +923,7 @@
         let mut request = Request {
             class,
             slots: sane(job.slots, MAX_UNITS).unwrap_or(1.0),
+            memory: sane(job.memory, MAX_UNITS).unwrap_or(0.0),
             work,
             hinted: hint.is_some(),
             aim_at: now.saturating_add(settings.aim).saturating_sub(spent),
@@ -946,10 +931,12 @@
             finished: false,
             attempts: ArrayVec::new(),
         };
-        self.offered += request.work * request.slots;
+        self.probes = (self.probes + PROBE_SPEND / self.settings.price_probe).min(PROBES_SAVED);
         self.copies = (self.copies + COPY_EARNED).min(COPY_SAVED);
         self.mean_load += (request.work * request.slots - self.mean_load) * BUSY_GAIN;
         self.mean_slots += (request.slots - self.mean_slots) * BUSY_GAIN;
+        self.mean_square += (request.work * request.work * request.slots - self.mean_square) * BUSY_GAIN;
+        self.mean_memory += (request.memory - self.mean_memory) * BUSY_GAIN;
         if self.shed(now, &request, job.tenant) {
             // Slots are scarce: about one usual job later some of them are free.
             actions.push(refuse(span(self.job_time), Refusal::Scarce));
@@ -1008,8 +995,19 @@
         let slots = self.slots_of(&self.workers[index]);
         let (estimate, _) = self.estimate(now, &self.workers[index], request);
         let worker = &mut self.workers[index];
+        let lasts = request.work / worker.service_rate;
         worker.own_slots += request.slots;
-        worker.own_jobs += 1;
+        worker.jobs.push(Held {
+            request: id,
+            attempt: request.attempts.len() as u32,
+            slots: request.slots,
+            memory: request.memory,
+            sent_at: now,
+            lasts,
+            started: None,
+            // Where starts are not told, as estimated.
+            ends: (!self.settings.tells_start).then(|| now.saturating_add(span(estimate))),
+        });
         if cold {
             // Summed over short steps: guards against a cost that grows with the number of jobs.
             let window = self.settings.fall_window.max(1);
@@ -1047,17 +1045,17 @@
     fn on_check(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(mut request) = self.requests.remove(&id) else { return };
         let waits = request.attempts.iter().filter(|a| a.out).all(|a| a.mark.is_none());
-        if !request.finished && waits && self.copies >= 1.0 && self.may_copy(now, &request) {
-            match self.pick(now, &request) {
-                Err(_) => {}
-                Ok(index) => {
-                    self.copies -= 1.0;
-                    if self.settings.second_copies {
-                        self.send(now, id, &mut request, index, actions);
-                    } else {
-                        self.cancel_others(id, &request, actions);
-                    }
-                }
+        if !request.finished
+            && waits
+            && self.copies >= 1.0
+            && self.may_copy(now, &request)
+            && let Ok(index) = self.pick(now, &request)
+        {
+            self.copies -= 1.0;
+            if self.settings.second_copies {
+                self.send(now, id, &mut request, index, actions);
+            } else {
+                self.cancel_others(id, &request, actions);
             }
         }
         self.requests.insert(id, request);
@@ -1085,9 +1083,14 @@
         if !attempt.out {
             return;
         }
+        let held = &mut self.workers[attempt.worker as usize].jobs;
+        let held = held.iter_mut().find(|held| (held.request, held.attempt) == (id, number));
         match progress {
             Progress::Started => {
                 attempt.mark = Some((now, 0.0));
+                if let Some(held) = held {
+                    (held.started, held.ends) = (Some(now), Some(now.saturating_add(span(held.lasts))));
+                }
                 if self.settings.may_cancel {
                     // One copy runs: those that still wait are called off.
                     for (other, attempt) in request.attempts.iter().enumerate() {
@@ -1098,6 +1101,10 @@
                 }
             }
             Progress::Done(share) if share > 0.0 && share < 1.0 => {
+                if let Some((held, at)) = held.and_then(|held| held.started.map(|at| (held, at))) {
+                    // What is left goes on as what is done did: hints are noisy, and speeds change.
+                    held.ends = Some(now.saturating_add(span(secs(now - at) * (1.0 - share) / share)));
+                }
                 let earlier = attempt.mark.replace((now, share));
                 let index = attempt.worker as usize;
                 if let Some((at, done)) = earlier
@@ -1115,9 +1122,7 @@
     }
 
     fn on_outcome(&mut self, now: Micros, end: AttemptOutcome, actions: &mut Vec<Action>) {
-        let Some(mut request) = self.requests.remove(&end.request) else {
-            return;
-        };
+        let Some(mut request) = self.requests.remove(&end.request) else { return };
         let known = request.attempts.get_mut(end.attempt as usize).filter(|a| a.out);
         if let Some(attempt) = known {
             attempt.out = false;
@@ -1140,10 +1145,16 @@
     /// Takes an ended attempt off its worker's count and learns from it.
     fn settle(&mut self, now: Micros, attempt: &Attempt, job: &Request, end: &AttemptOutcome) {
         let index = attempt.worker as usize;
-        let own_before = self.workers[index].own_slots;
         let worker = &mut self.workers[index];
-        worker.own_jobs = worker.own_jobs.saturating_sub(1);
-        worker.own_slots = if worker.own_jobs == 0 { 0.0 } else { (worker.own_slots - job.slots).max(0.0) };
+        let is_it = |held: &Held| (held.request, held.attempt) == (end.request, end.attempt);
+        if let Some(at) = worker.jobs.iter().position(is_it) {
+            let held = worker.jobs.remove(at);
+            worker.ended.push_back((now, held.sent_at, held.slots));
+            while worker.ended.front().is_some_and(|&(ended, ..)| ended + REPORT_AGE < now) {
+                worker.ended.pop_front();
+            }
+        }
+        worker.own_slots = worker.jobs.iter().map(|held| held.slots).sum();
         if !(attempt.overdue && end.outcome == Outcome::TimedOut) {
             self.learn_fault(index, Some(job.class), end.outcome);
         }
@@ -1165,10 +1176,12 @@
             }
         }
         let full = end.outcome == Outcome::Full;
-        self.kinds[self.workers[index].kind as usize].learn_full(full);
-        self.fleet.learn_full(full);
-        if full || end.report.is_some() || end.outcome == Outcome::Served {
-            self.on_report(now, index, &end.report.unwrap_or_default(), own_before, full);
+        for pool in [&mut self.kinds[self.workers[index].kind as usize], &mut self.fleet] {
+            pool.full += (f64::from(full) - pool.full) * BUSY_GAIN;
+        }
+        let served = end.outcome == Outcome::Served && !self.settings.reports_by_probe;
+        if full || end.report.is_some() || served {
+            self.on_report(now, index, &end.report.unwrap_or_default(), full);
         }
     }
 
@@ -1236,9 +1249,7 @@
 
     /// The client has gone: nothing more goes out for the request.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(mut request) = self.requests.remove(&id) else {
-            return;
-        };
+        let Some(mut request) = self.requests.remove(&id) else { return };
         if !request.finished {
             request.finished = true;
             self.cancel_others(id, &request, actions);
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -164,6 +164,45 @@
     }
 }
 
+impl Settings {
+    /// Whether a dispatcher can work by them.
+    ///
+    /// # Errors
+    /// The first figure that makes no sense.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        if self.classes.is_empty() {
+            return Err(SettingsError("no class of jobs"));
+        }
+        if self.fleet_size == 0 {
+            return Err(SettingsError("a fleet of no dispatchers"));
+        }
+        if self.max_attempts == 0 {
+            return Err(SettingsError("no attempt allowed"));
+        }
+        if !(self.cold_from > 0.0 && self.cold_from <= 1.0) {
+            return Err(SettingsError("the cold share is not above 0 and up to 1"));
+        }
+        if !(self.fall_multiple > 0.0 && self.fall_multiple.is_finite()) {
+            return Err(SettingsError("the multiple of the cold budget is not above 0"));
+        }
+        if !(0.0..=1.0).contains(&self.over_share_worth) {
+            return Err(SettingsError("the worth beyond a share is not between 0 and 1"));
+        }
+        if !(self.price_probe >= 0.0 && self.price_probe.is_finite()) {
+            return Err(SettingsError("the price of a probe is negative or no number"));
+        }
+        for class in &self.classes {
+            if !(class.stretch >= 0.0 && class.stretch.is_finite()) {
+                return Err(SettingsError("a class's stretch is negative or no number"));
+            }
+            if !(class.worth >= 0.0 && class.worth.is_finite()) {
+                return Err(SettingsError("a class's worth is negative or no number"));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Why a dispatcher could not be made from its settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub &'static str);
@@ -177,13 +216,14 @@
 impl std::error::Error for SettingsError {}
 
 /// Whether a worker takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorkerState {
     /// It takes work.
     Ready,
     /// It finishes what it has.
     Draining,
     /// It left the roster.
+    #[default]
     Gone,
 }
 
