Carry out the probes that the module asks for, each answered to it once

`probes` takes the actions from `decisions` and has the back send each: `GET /-/load` on the pooled client, 1 s at most, the report from the body (object, object under `load`, or the header's text form) or the header. 200 is served, any other status an error (with its report, if one came), a refused or unwritten one connect failed, a break a reset, silence timed out. Moot, at once, where it was not sent: a worker that drains or has left, one that has a probe out already, no place, or a node that ends. Places of their own beside the hand-overs' (a 64th of the descriptors, 2 to 16), so that no probe takes a job's; a connection that breaks under a probe counts for the doubt of kept ones like any.

--- a/crates/copperspread/tests/parsers.rs
+++ b/crates/copperspread/tests/parsers.rs
@@ -1,6 +1,6 @@
 //! What reads the network: random cuts of valid messages and random garbage, from fixed seeds.
 mod sockets;
-use copperspread_node::back::http::{kept_idle, load_header, read_call_back};
+use copperspread_node::back::http::{kept_idle, load_answer, load_header, read_call_back};
 use copperspread_node::front::http as edge;
 use copperspread_node::order::request_id;
 use copperspread_settings::{json, platform};
@@ -23,7 +23,7 @@
 
 /// All readers take anything without a panic.
 fn read_all(bytes: &[u8]) {
-    let _ = read_call_back(bytes);
+    let _ = (read_call_back(bytes), load_answer(&Default::default(), bytes));
     let text = String::from_utf8_lossy(bytes);
     let _ = platform::read_start(&text);
     let _ = json::parse(&text).map(|value| platform::read_list(&value));
--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -16,6 +16,7 @@
 use crate::front::edge_connection::Edge;
 use crate::front::http::{Guest, front};
 use crate::node::Node;
+use crate::probes;
 use crate::source::Membership;
 use crate::witness::Witness;
 
@@ -71,6 +72,7 @@
     let listener = listener.map_err(|e| format!("listen on {}: {e}", start.listen))?;
     let guest = Guest { path: CALL_BACK_PATH, take: Arc::new(call_backs(entries, decisions)) };
     let edge = front(Arc::clone(&node), guest, listener, start.sockets, start.memory_mb);
+    tokio::spawn(probes::carry_out(Arc::clone(&node)));
     let longest = given.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     Ok(Assembled { node, edge, membership, known, longest })
 }
--- a/crates/node/src/back/http.rs
+++ b/crates/node/src/back/http.rs
@@ -31,6 +31,8 @@
 
 /// Where real servers call back.
 pub const CALL_BACK_PATH: &str = "/_jobs/news";
+/// Where real servers are probed.
+const PROBE_PATH: &str = "/-/load";
 /// Longest body of an answer that is read.
 const LONGEST_BODY: usize = 64 * 1024;
 /// Share of the real servers' keep-alive for which idle connections are kept here.
@@ -133,6 +135,15 @@
     Some(report)
 }
 
+/// The load report that a probe's answer brings: in its body, as an object or as in the header, or there.
+pub fn load_answer(headers: &HeaderMap, body: &[u8]) -> Option<Report> {
+    let header = headers.get("x-server-load").and_then(|value| value.to_str().ok());
+    let object = json::parse_bytes(body).ok();
+    let object = object.as_ref().and_then(|object| load_object(field(object, "load").unwrap_or(object)));
+    let text = std::str::from_utf8(body).ok().and_then(load_header);
+    object.or(text).or_else(|| header.and_then(load_header))
+}
+
 /// What an answer to a handed-over scheduling means; `None` is that the real server has taken it.
 pub fn read_answer(status: StatusCode, headers: &HeaderMap) -> Option<Outcome> {
     let not_run = headers.get("x-not-processed").is_some_and(|value| value == "1");
@@ -164,6 +175,11 @@
     (sockets / 8).max(4)
 }
 
+/// Most probes under way at once, beside the hand-overs. Guards against probes that take a job's place.
+pub fn probes(sockets: usize) -> usize {
+    (sockets / 64).clamp(2, 16)
+}
+
 /// Most idle connections kept to one real server. Guards against a dozen real servers whose idle
 /// connections hold the descriptors that edge connections count on.
 pub fn idle_most(sockets: usize) -> usize {
@@ -193,6 +209,8 @@
     entries: Arc<ServiceEntries>,
     /// Hand-overs that may be under way at once: an eighth of the descriptors.
     places: Semaphore,
+    /// Probes that may be under way at once.
+    probes: Semaphore,
 }
 
 impl RealServers {
@@ -218,6 +236,7 @@
             keepalive: Duration::from_micros(settings.keepalive),
             entries,
             places: Semaphore::new(hand_overs(sockets)),
+            probes: Semaphore::new(probes(sockets)),
         }
     }
 
@@ -283,7 +302,39 @@
     }
 }
 
+impl RealServers {
+    async fn probe_now(&self, worker: WorkerId, by: Instant) -> (Outcome, Option<Report>) {
+        let Ok(_place) = self.probes.try_acquire() else { return (Outcome::Moot, None) };
+        let path = PathAndQuery::from_static(PROBE_PATH);
+        let request =
+            self.entries.serving(worker).and_then(|at| request(Method::GET, at, path, Bytes::new()));
+        let Some(mut request) = request else { return (Outcome::Moot, None) };
+        let connection = capture_connection(&mut request);
+        let answer = async {
+            let (head, body) = self.client.request(request).await?.into_parts();
+            let body = Limited::new(body, LONGEST_BODY).collect().await;
+            Ok((head, body.map_or_else(|_| Bytes::new(), |body| body.to_bytes())))
+        };
+        match timeout_at(by, answer).await {
+            Err(_) => (Outcome::TimedOut, None),
+            Ok(Err(error)) => {
+                self.carried(&connection, false);
+                (broken(&error), None)
+            }
+            Ok(Ok((head, body))) => {
+                self.carried(&connection, true);
+                let well = if head.status == StatusCode::OK { Outcome::Served } else { Outcome::Error };
+                (well, load_answer(&head.headers, &body))
+            }
+        }
+    }
+}
+
 impl Back for RealServers {
+    fn probe<'a>(&'a self, worker: WorkerId, by: Instant) -> BoxFuture<'a, (Outcome, Option<Report>)> {
+        Box::pin(self.probe_now(worker, by))
+    }
+
     fn hand_over<'a>(
         &'a self,
         worker: WorkerId,
--- a/crates/node/src/back/mod.rs
+++ b/crates/node/src/back/mod.rs
@@ -1,7 +1,7 @@
 //! The door to real servers.
 use std::sync::Arc;
 
-use copperspread_decisions::WorkerId;
+use copperspread_decisions::{Outcome, Report, WorkerId};
 use futures_util::future::BoxFuture;
 use tokio::time::Instant;
 
@@ -24,6 +24,13 @@
     /// Tells a real server that a scheduling it has taken is no longer waited for. Does not wait.
     fn give_up(&self, worker: WorkerId, order: &Order);
 
+    /// Asks a real server for its load: served with a report, or why there is none. A back without probes
+    /// sends none.
+    fn probe<'a>(&'a self, worker: WorkerId, by: Instant) -> BoxFuture<'a, (Outcome, Option<Report>)> {
+        let _ = (worker, by);
+        Box::pin(std::future::ready((Outcome::Moot, None)))
+    }
+
     /// A real server's name, for logs and records; empty if there is none of this number.
     fn name(&self, worker: WorkerId) -> Arc<str>;
 }
--- a/crates/node/src/decisions.rs
+++ b/crates/node/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Holds the dispatcher, alone: hands it events, keeps its timers and brings its actions to the
 //! flows' mailboxes.
 use std::collections::hash_map::Entry;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use copperspread_decisions::*;
@@ -46,6 +46,8 @@
     actions: Vec<Action>,
     /// How many lists the module was told.
     version: u64,
+    /// Probes that nobody has taken yet.
+    probes: VecDeque<WorkerId>,
 }
 
 /// The dispatcher and the way from it to the flows. Its lock is never held over an await.
@@ -55,6 +57,7 @@
     inner: Mutex<Inner>,
     witness: Arc<Witness>,
     subscribe: Notify,
+    probe: Notify,
 }
 
 impl Decisions {
@@ -71,9 +74,10 @@
             ended: Ended::default(),
             actions: Vec::new(),
             version: 0,
+            probes: VecDeque::new(),
         };
-        let (inner, subscribe) = (Mutex::new(inner), Notify::new());
-        Arc::new(Decisions { clock, on_request, inner, witness, subscribe })
+        let (inner, subscribe, probe) = (Mutex::new(inner), Notify::new(), Notify::new());
+        Arc::new(Decisions { clock, on_request, inner, witness, subscribe, probe })
     }
 
     /// Hands over one event; what comes of it is in the mailboxes, in order, when this returns.
@@ -105,8 +109,11 @@
                     self.subscribe.notify_one();
                     continue;
                 }
-                // The module asks for none yet.
-                Action::Probe { .. } => continue,
+                Action::Probe { worker } => {
+                    inner.probes.push_back(worker);
+                    self.probe.notify_one();
+                    continue;
+                }
             };
             let delivered = inner.flows.get(&request).is_some_and(|flow| flow.send(mail).is_ok());
             invariant!(delivered, "an action finds its flow");
@@ -170,6 +177,22 @@
         self.subscribe.notified().await;
     }
 
+    /// Waits until the module asks for a probe. For one taker.
+    pub async fn probe(&self) -> WorkerId {
+        loop {
+            let asked = self.inner.lock().unwrap_or_else(PoisonError::into_inner).probes.pop_front();
+            if let Some(worker) = asked {
+                return worker;
+            }
+            self.probe.notified().await;
+        }
+    }
+
+    /// What came of a probe.
+    pub fn probed(self: &Arc<Self>, worker: WorkerId, outcome: Outcome, report: Option<Report>) {
+        self.tell(Event::Probed { worker, outcome, report });
+    }
+
     /// Brings a call-back to its flow; false if there is none any more.
     pub fn news(&self, request: RequestId, worker: WorkerId, news: News) -> bool {
         let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod invariant;
 pub mod node;
 pub mod order;
+pub mod probes;
 pub mod source;
 pub mod witness;
--- /dev/null
+++ b/crates/node/src/probes.rs
@@ -0,0 +1,38 @@
+//! Carries out the probes that the module asks for.
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use copperspread_decisions::{Micros, Outcome, SECOND};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use crate::clock::from_now;
+use crate::node::Node;
+
+/// A probe that is not answered by then tells that its real server has a queue, as it may wait there like
+/// a job. What comes later is old, and is dropped.
+const ANSWERED_WITHIN: Micros = SECOND;
+
+/// Carries them out for good. Whatever happens, the module hears of each once: of one that was not sent,
+/// that it is moot.
+pub async fn carry_out(node: Arc<Node>) {
+    let mut under_way = FuturesUnordered::new();
+    let mut asked = HashSet::new();
+    loop {
+        tokio::select! {
+            worker = node.decisions.probe() => {
+                // Guards against probes that pile up at a real server that answers none, and against work
+                // for real servers whose answer nobody will use.
+                if node.ending.begun() || !asked.insert(worker) {
+                    node.decisions.probed(worker, Outcome::Moot, None);
+                    continue;
+                }
+                let probe = node.back.probe(worker, from_now(ANSWERED_WITHIN));
+                under_way.push(async move { (worker, probe.await) });
+            }
+            Some((worker, (outcome, report))) = under_way.next() => {
+                asked.remove(&worker);
+                node.decisions.probed(worker, outcome, report);
+            }
+        }
+    }
+}
