Ask a silent discovery what it has within a second; reopen broken watches at once

Pushed lists: what the agent has counts as told whether or not a watch is open, outage or not, with a second's grace. targets.rs followed by held watches alone: after one fell silent (3 s) the next was held again, so that with a wait of up to 0.8 s between them an agent that was back could go unasked for 3.8 s; a new process began the same way. Asked lists: any failed watch told the module `Failed`, which waits 0.5 to 10 s (1 s doubled for each failure), while what a silent watch missed counts as told 6 s after it fell silent, of which 3 s are gone by then. And the module was never told that a subscription had come about where nothing was new (an empty answer of the same revision was dropped), so its failures were counted up for good. A discovery that moved by SIGHUP (told 4 s later) waited for the same. Calls to an asked discovery wait up to 1 s in turn and were dropped after just that.

Pushed: the first call and any after a failure want the whole list, bounded by 0.7 s, made again after 0.1 to 0.2 s. Asked: a watch that broke or fell silent is opened anew once before the module hears of it, one turned away (503) is not; the first answer after a subscription is told though empty; a move ends the wait; calls have 1.8 s beside the hold.

--- a/crates/node/src/source/targets.rs
+++ b/crates/node/src/source/targets.rs
@@ -22,10 +22,15 @@
 /// How long a watch is held at discovery. Short, because the wait for a watch that fell silent adds
 /// to how late a change is seen, and empty answers cost little.
 const HOLD: Micros = 2 * SECOND;
-/// A watch that has not answered this long after its hold is over is dropped.
-const SILENT: Micros = SECOND;
-/// First and longest wait before a failed call is made again.
-const RETRY: (Micros, Micros) = (100_000, 800_000);
+/// A pushed list is at an agent nearby, which answers at once: a watch that has not answered this long
+/// after its hold is over is dropped, and so is a call for the whole list.
+const SILENT: (Micros, Micros) = (SECOND, 700_000);
+/// Where lists are asked for, calls wait their turn for up to a second before they fail. What a silent
+/// watch misses counts as told 2 s after its hold at the soonest.
+const SILENT_ASKED: Micros = 1_800_000;
+/// First and longest wait before a failed call is made again where lists are pushed. Together with the
+/// limit of the whole list under a second: what the agent has binds, also while it was silent.
+const RETRY: (Micros, Micros) = (100_000, 200_000);
 
 /// The platform's discovery at an address, which may move.
 pub struct Targets {
@@ -51,17 +56,35 @@
         .build(connector)
 }
 
-/// Follows discovery for good: one watch after the other. Where changes come only on request, each
-/// subscription that the module asks for lasts until the first call that fails. When discovery
-/// moves, the watch under way is dropped and the new address is asked for the whole list.
+/// Why a call brought no list: it was turned away, or it broke, was no list or fell silent.
+enum Fault {
+    Refused(StatusCode),
+    Broken(String),
+}
+
+fn broken(error: impl ToString) -> Fault {
+    Fault::Broken(error.to_string())
+}
+
+/// Follows discovery for good: one watch after the other. Where lists are pushed, the first call and any
+/// after one that failed want the whole list, as a watch says nothing for as long as it is held. Where
+/// changes come only on request, each subscription that the module asks for lasts until a call fails; a
+/// watch that broke is opened anew once before the module hears of it, as the module waits longer each
+/// time. When discovery moves, what is under way is dropped and the new address is asked for the whole
+/// list.
 async fn follow(mut discovery: watch::Receiver<Authority>, known: Option<u64>, membership: Membership) {
     let mut client = client();
     let mut address = discovery.borrow().clone();
     let mut revision = known;
     let mut wait = RETRY.0;
-    if membership.on_request() {
+    let on_request = membership.on_request();
+    if on_request {
         membership.subscription().await;
     }
+    // The module is owed a word that its subscription has come about.
+    let mut owed = on_request;
+    // The last call was answered.
+    let mut stands = false;
     loop {
         if *discovery.borrow() != address {
             address = discovery.borrow().clone();
@@ -71,13 +94,19 @@
             membership.count_anew();
             revision = None;
             wait = RETRY.0;
+            stands = false;
         }
-        let path = match revision {
+        let watched = revision.filter(|_| stands || on_request);
+        let path = match watched {
             Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", HOLD / 1_000),
             None => "/api/targets".to_owned(),
         };
         // Guards against a discovery that is down and keeps its connections open in silence.
-        let by = from_now(if revision.is_some() { HOLD + SILENT } else { SILENT });
+        let by = from_now(match watched {
+            Some(_) => HOLD + if on_request { SILENT_ASKED } else { SILENT.0 },
+            None if on_request => SILENT_ASKED,
+            None => SILENT.1,
+        });
         let answered = tokio::select! {
             biased;
             Ok(()) = discovery.changed() => None,
@@ -87,9 +116,11 @@
             None => {}
             Some(Ok(list)) => {
                 wait = RETRY.0;
-                let news = revision.is_none_or(|old| old != list.revision) || !list.members.is_empty();
-                if let Some(told) = membership.take(&list).filter(|_| news || list.complete) {
+                stands = true;
+                let same = revision.is_some_and(|old| old == list.revision) && list.members.is_empty();
+                if let Some(told) = membership.take(&list).filter(|_| owed || list.complete || !same) {
                     membership.tell(list.complete, &told);
+                    owed = false;
                 }
                 // Guards against a list that is older than the table: asked for again at once, it
                 // would come again at once.
@@ -99,11 +130,24 @@
                     sleep_until(from_now(RETRY.0)).await;
                 }
             }
-            Some(Err(why)) => {
+            Some(Err(fault)) => {
+                let stood = std::mem::take(&mut stands);
+                let broke = matches!(fault, Fault::Broken(_));
+                let why = match fault {
+                    Fault::Broken(why) => why,
+                    Fault::Refused(status) => format!("answered {status}"),
+                };
                 note("no answer of discovery, the list stays", &why);
-                if membership.on_request() {
+                if on_request && stood && broke {
+                    // At once: what a silent watch missed counts as told soon.
+                } else if on_request {
                     membership.failed();
-                    membership.subscription().await;
+                    owed = true;
+                    tokio::select! {
+                        () = membership.subscription() => {}
+                        // Guards against a wait for a discovery that has moved meanwhile.
+                        Ok(()) = discovery.changed() => {}
+                    }
                 } else {
                     // A discovery that moves is not waited out.
                     let again = from_now(wait);
@@ -121,17 +165,18 @@
     discovery: &Authority,
     path: &str,
     by: Instant,
-) -> Result<List, String> {
+) -> Result<List, Fault> {
     let answer = async {
         let uri = Uri::builder().scheme("http").authority(discovery.clone()).path_and_query(path);
-        let request = Request::get(uri.build().map_err(|e| e.to_string())?);
-        let request = request.body(Empty::new()).map_err(|e| e.to_string())?;
-        let response = client.request(request).await.map_err(|e| e.to_string())?;
+        let request = Request::get(uri.build().map_err(broken)?);
+        let request = request.body(Empty::new()).map_err(broken)?;
+        let response = client.request(request).await.map_err(broken)?;
         if response.status() != StatusCode::OK {
-            return Err(format!("answered {}", response.status()));
+            return Err(Fault::Refused(response.status()));
         }
         let body = Limited::new(response.into_body(), LONGEST_BODY).collect().await;
-        platform::read_list(&json::parse_bytes(&body.map_err(|e| e.to_string())?.to_bytes())?)
+        let value = json::parse_bytes(&body.map_err(broken)?.to_bytes()).map_err(broken)?;
+        platform::read_list(&value).map_err(broken)
     };
-    timeout_at(by, answer).await.unwrap_or_else(|_| Err("fell silent".into()))
+    timeout_at(by, answer).await.unwrap_or_else(|_| Err(broken("fell silent")))
 }
