Let late probes go on for 4 s, so that their connections stay

The module hears of time out after 1 s as before; the exchange goes on for 4 s more, holding its place and keeping its real server from another probe (moot), and its answer is dropped. Places: a 48th of the descriptors, 4 to 12.

--- a/crates/node/src/back/http.rs
+++ b/crates/node/src/back/http.rs
@@ -1,6 +1,6 @@
 //! The way to the real servers: handing over and giving up schedulings, their call-backs and what
 //! each answer means.
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::error::Error as _;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -19,7 +19,7 @@
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tinyjson::JsonValue;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::time::{Instant, timeout_at};
 
 use crate::back::Back;
@@ -33,6 +33,8 @@
 pub const CALL_BACK_PATH: &str = "/_jobs/news";
 /// Where real servers are probed.
 const PROBE_PATH: &str = "/-/load";
+/// A probe that is late is let go on for so long.
+const LATE_PROBE: Micros = 4 * SECOND;
 /// Longest body of an answer that is read.
 const LONGEST_BODY: usize = 64 * 1024;
 /// Share of the real servers' keep-alive for which idle connections are kept here.
@@ -177,7 +179,7 @@
 
 /// Most probes under way at once, beside the hand-overs. Guards against probes that take a job's place.
 pub fn probes(sockets: usize) -> usize {
-    (sockets / 64).clamp(2, 16)
+    (sockets / 48).clamp(4, 12)
 }
 
 /// Most idle connections kept to one real server. Guards against two dozen real servers whose idle
@@ -209,8 +211,21 @@
     entries: Arc<ServiceEntries>,
     /// Hand-overs that may be under way at once: an eighth of the descriptors.
     places: Semaphore,
-    /// Probes that may be under way at once.
-    probes: Semaphore,
+    /// The real servers that have a probe unanswered, and how many may.
+    probed: Arc<Mutex<HashSet<WorkerId>>>,
+    most_probed: usize,
+}
+
+/// A probe that is under way.
+struct Probing {
+    probed: Arc<Mutex<HashSet<WorkerId>>>,
+    worker: WorkerId,
+}
+
+impl Drop for Probing {
+    fn drop(&mut self) {
+        self.probed.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.worker);
+    }
 }
 
 impl RealServers {
@@ -236,7 +251,8 @@
             keepalive: Duration::from_micros(settings.keepalive),
             entries,
             places: Semaphore::new(hand_overs(sockets)),
-            probes: Semaphore::new(probes(sockets)),
+            probed: Arc::default(),
+            most_probed: probes(sockets),
         }
     }
 
@@ -308,25 +324,40 @@
 }
 
 impl RealServers {
+    /// A probe's place. Guards against probes that pile up at a real server that answers none.
+    fn begin_probe(&self, worker: WorkerId) -> Option<Probing> {
+        let mut probed = self.probed.lock().unwrap_or_else(PoisonError::into_inner);
+        let begins = probed.len() < self.most_probed && probed.insert(worker);
+        begins.then(|| Probing { probed: Arc::clone(&self.probed), worker })
+    }
+
     async fn probe_now(&self, worker: WorkerId, by: Instant) -> (Outcome, Option<Report>) {
-        let Ok(_place) = self.probes.try_acquire() else { return (Outcome::Moot, None) };
+        let Some(probing) = self.begin_probe(worker) else { return (Outcome::Moot, None) };
         let path = PathAndQuery::from_static(PROBE_PATH);
         let request =
             self.entries.serving(worker).and_then(|at| request(Method::GET, at, path, Bytes::new()));
         let Some(mut request) = request else { return (Outcome::Moot, None) };
         let connection = capture_connection(&mut request);
-        let answer = async {
-            let (head, body) = self.client.request(request).await?.into_parts();
-            let body = Limited::new(body, LONGEST_BODY).collect().await;
-            Ok((head, body.map_or_else(|_| Bytes::new(), |body| body.to_bytes())))
-        };
+        let asked = self.client.request(request);
+        let (sender, answer) = oneshot::channel();
+        // Guards against a new connection for each probe that waits long in a queue: one that is late is
+        // let go on for a while, so that its connection stays.
+        tokio::spawn(timeout_at(by + Duration::from_micros(LATE_PROBE), async move {
+            let _probing = probing;
+            let answered = async {
+                let (head, body) = asked.await?.into_parts();
+                let body = Limited::new(body, LONGEST_BODY).collect().await;
+                Ok((head, body.map_or_else(|_| Bytes::new(), |body| body.to_bytes())))
+            };
+            let _ = sender.send(answered.await);
+        }));
         match timeout_at(by, answer).await {
-            Err(_) => (Outcome::TimedOut, None),
-            Ok(Err(error)) => {
+            Err(_) | Ok(Err(_)) => (Outcome::TimedOut, None),
+            Ok(Ok(Err(error))) => {
                 self.carried(&connection, false);
                 (broken(&error), None)
             }
-            Ok(Ok((head, body))) => {
+            Ok(Ok(Ok((head, body)))) => {
                 self.carried(&connection, true);
                 let well = if head.status == StatusCode::OK { Outcome::Served } else { Outcome::Error };
                 (well, load_answer(&head.headers, &body))
--- a/crates/node/src/probes.rs
+++ b/crates/node/src/probes.rs
@@ -1,5 +1,4 @@
 //! Carries out the probes that the module asks for.
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use copperspread_decisions::{Micros, Outcome, SECOND};
@@ -16,13 +15,11 @@
 /// that it is moot.
 pub async fn carry_out(node: Arc<Node>) {
     let mut under_way = FuturesUnordered::new();
-    let mut asked = HashSet::new();
     loop {
         tokio::select! {
             worker = node.decisions.probe() => {
-                // Guards against probes that pile up at a real server that answers none, and against work
-                // for real servers whose answer nobody will use.
-                if node.ending.begun() || !asked.insert(worker) {
+                // Guards against work for real servers whose answer nobody will use.
+                if node.ending.begun() {
                     node.decisions.probed(worker, Outcome::Moot, None);
                     continue;
                 }
@@ -30,7 +27,6 @@
                 under_way.push(async move { (worker, probe.await) });
             }
             Some((worker, (outcome, report))) = under_way.next() => {
-                asked.remove(&worker);
                 node.decisions.probed(worker, outcome, report);
             }
         }
