--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -357,6 +357,7 @@
             usual_taste: 1.0,
             job_time: 1.0,
             tenants,
+            copies: 1.0,
             probes: PROBES_SAVED,
             mean_load: 1.0,
             mean_slots: 1.0,
