Part the laboratory's list from its agents, and the scenario from the model

The list that agents tell lies in emulate/list.rs; the order of a worker's queue lies with the scenario's other figures; an arrival makes its own offer; what is true of a worker is the model's. No behaviour changes: cargo check over all targets.

--- a/crates/lab/src/emulate/listing.rs
+++ b/crates/lab/src/emulate/listing.rs
@@ -1,4 +1,4 @@
-//! The worker list as each scheduler's agent has it, and the agent's answers.
+//! The agents of the worker list, one for each scheduler, and their answers.
 use std::rc::Rc;
 
 use copperspread_decisions::{Micros, RosterKind, WorkerEntry, WorkerState};
@@ -17,56 +17,6 @@
 /// How long a list that contradicts itself stays before the other one comes, as in virtual time.
 pub const TURNS: Duration = Duration::from_secs(3);
 
-/// The list: what all agents have been sent.
-pub struct Listing {
-    /// Grows with each change.
-    pub revision: u64,
-    /// Each worker with the revision of its last change.
-    pub entries: Vec<(u64, WorkerEntry)>,
-    /// Whoever has an older one gets the whole list.
-    pub whole_from: u64,
-    /// The agents stay silent.
-    pub down: u32,
-    /// Workers whose change waits for discovery to be back.
-    pub untold: Vec<u32>,
-    /// The list as it was when it began to contradict itself.
-    pub contradicted: Option<Vec<WorkerEntry>>,
-}
-
-impl Listing {
-    /// A first list.
-    pub fn new(entries: Vec<WorkerEntry>) -> Listing {
-        let entries = entries.into_iter().map(|entry| (1, entry)).collect();
-        Listing { revision: 1, entries, whole_from: 0, down: 0, untold: Vec::new(), contradicted: None }
-    }
-
-    /// Entries change.
-    pub fn change(&mut self, entries: Vec<WorkerEntry>) {
-        self.revision += 1;
-        for entry in entries {
-            self.entries[entry.worker.0 as usize] = (self.revision, entry);
-        }
-    }
-
-    /// The whole list is another one, and everyone gets it as such.
-    pub fn replace(&mut self, entries: Vec<WorkerEntry>) {
-        self.change(entries);
-        self.whole_from = self.revision;
-    }
-
-    /// What an agent answers whoever has this revision, if it has something newer.
-    fn since(&self, from: Option<u64>) -> Option<(RosterKind, Vec<WorkerEntry>)> {
-        match from {
-            Some(from) if from >= self.whole_from && from <= self.revision => {
-                let newer = self.entries.iter().filter(|(revision, _)| *revision > from);
-                let newer: Vec<_> = newer.map(|(_, entry)| *entry).collect();
-                (!newer.is_empty()).then_some((RosterKind::Changes, newer))
-            }
-            _ => Some((RosterKind::Full, self.entries.iter().map(|(_, entry)| *entry).collect())),
-        }
-    }
-}
-
 /// A list in discovery's form. Who is gone is named among changes only.
 pub fn form(stage: &Stage, kind: RosterKind, revision: u64, entries: &[WorkerEntry]) -> Value {
     let complete = kind != RosterKind::Changes;
--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -4,10 +4,11 @@
 //! ```text
 //!   clients.rs ──HTTP──► scheduler processes ──HTTP──► workers.rs (socket.rs breaks what is to break)
 //!                          ▲ agent of the list            │ each hand-over, each look
-//!                      listing.rs ◄──── stage.rs ◄──── world.rs (model, referee, tally; no socket)
+//!            listing.rs ◄──── stage.rs (list.rs) ◄──── world.rs (model, referee, tally; no socket)
 //! ```
 pub mod baseline;
 mod clients;
+mod list;
 mod listing;
 pub mod program;
 pub mod socket;
@@ -30,7 +31,7 @@
 use crate::model::fleet::{Fleet, Turn};
 use crate::outcome::{Measured, Outcome, Played};
 use crate::scenario::{Scenario, Trouble, micros};
-use listing::Listing;
+use list::Listing;
 use program::{Process, Program, configuration};
 use stage::{Door, Port, Stage};
 use world::World;
--- a/crates/lab/src/emulate/stage.rs
+++ b/crates/lab/src/emulate/stage.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::emulate::listing::Listing;
+use crate::emulate::list::Listing;
 use crate::emulate::world::{News, Word, World};
 use crate::model::worker::Life;
 use crate::scenario::{Scenario, micros};
--- a/crates/lab/src/emulate/workers.rs
+++ b/crates/lab/src/emulate/workers.rs
@@ -227,7 +227,7 @@
     use tokio::task::{LocalSet, spawn_local};
 
     use super::*;
-    use crate::emulate::listing::Listing;
+    use crate::emulate::list::Listing;
     use tokio::time::Instant;
 
     use crate::emulate::stage::{Port, entry, serve_connection};
--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -239,7 +239,7 @@
             Cut::Garbage => return Taken::Garbage,
             Cut::Whole | Cut::After => {}
         }
-        let offered = self.scenario.classes[arrival.class as usize].offered(id, &arrival);
+        let offered = arrival.offered(id, &self.scenario.classes[arrival.class as usize]);
         let mut effects = Vec::new();
         match self.workers[worker as usize].0.offer(now, offered, &mut effects) {
             Offer::Taken => {
--- a/crates/lab/src/model/arrivals.rs
+++ b/crates/lab/src/model/arrivals.rs
@@ -5,7 +5,8 @@
 use rand_distr::{Distribution, Exp, Exp1, LogNormal};
 
 use crate::model::chance::{Chance, Stream, stream};
-use crate::scenario::{Fault, Scenario, Spread, Trouble, micros};
+use crate::model::worker::Offered;
+use crate::scenario::{Class, Fault, Scenario, Spread, Trouble, micros};
 
 /// A client's job, over all of its tries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,6 +25,14 @@
     pub scheduler: u32,
 }
 
+impl Arrival {
+    /// The job as an attempt offers it to a worker.
+    pub fn offered(&self, attempt: u64, of: &Class) -> Offered {
+        let Arrival { class, work, slots, .. } = *self;
+        Offered { attempt, class, work, slots, memory: of.memory, worth: of.worth }
+    }
+}
+
 /// The stream of arrivals.
 pub struct Arrivals<'a> {
     scenario: &'a Scenario,
--- a/crates/lab/src/model/worker.rs
+++ b/crates/lab/src/model/worker.rs
@@ -5,23 +5,8 @@
 use std::collections::VecDeque;
 
 use copperspread_decisions::{Micros, Report, SECOND};
-use serde::{Deserialize, Serialize};
-
-use crate::policy::Truth;
-use crate::scenario::Trouble;
-
-/// In which order waiting jobs start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Order {
-    /// As they came; the first waits until it fits.
-    #[default]
-    Fifo,
-    /// The first that fits.
-    Backfill,
-    /// The one that is worth most, and of equals the first; it waits until it fits.
-    Priority,
-}
+
+use crate::scenario::{Order, Trouble};
 
 /// What a worker is built of.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -78,6 +63,17 @@
     Vanished,
 }
 
+/// What is true of a worker, which no real scheduler sees.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Truth {
+    /// Seconds until it would begin a job that comes now.
+    pub wait: f64,
+    /// Seconds of work that a job does a second there.
+    pub rate: f64,
+    /// It takes jobs.
+    pub takes: bool,
+}
+
 /// What happened at a worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -8,17 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::chance::Chance;
-
-/// What is true of a worker, which no real scheduler sees.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Truth {
-    /// Seconds until it would begin a job that comes now.
-    pub wait: f64,
-    /// Seconds of work that a job does a second there.
-    pub rate: f64,
-    /// It takes jobs.
-    pub takes: bool,
-}
+use crate::model::worker::Truth;
 
 /// One scheduler's decisions.
 pub trait Policy: Decide {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -2,9 +2,6 @@
 use copperspread_decisions::{self as decisions, Effect, Micros, SECOND, Settings};
 use serde::{Deserialize, Serialize};
 
-use crate::model::arrivals::Arrival;
-use crate::model::worker::{Offered, Order};
-
 /// A scenario.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +67,19 @@
     1
 }
 
+/// In which order waiting jobs start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Order {
+    /// As they came; the first waits until it fits.
+    #[default]
+    Fifo,
+    /// The first that fits.
+    Backfill,
+    /// The one that is worth most, and of equals the first; it waits until it fits.
+    Priority,
+}
+
 /// Workers that are built alike.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -600,12 +610,6 @@
 }
 
 impl Class {
-    /// A job of this class as an attempt offers it to a worker.
-    pub fn offered(&self, attempt: u64, of: &Arrival) -> Offered {
-        let Arrival { class, work, slots, .. } = *of;
-        Offered { attempt, class, work, slots, memory: self.memory, worth: self.worth }
-    }
-
     /// What may be repeated, in the module's form.
     pub fn effect(&self) -> Effect {
         match self.repeat {
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -20,9 +20,9 @@
 use crate::model::fleet::{Fleet, Turn, cold_budget};
 use crate::model::keys::{Keys, Repeat};
 use crate::model::wire::{Cut, Wire};
-use crate::model::worker::{self, Offer, Worker};
+use crate::model::worker::{self, Offer, Truth, Worker};
 use crate::outcome::{End, Outcome, Played, Tally};
-use crate::policy::{Kind, Policy, Truth};
+use crate::policy::{Kind, Policy};
 use crate::referee::{Heard, Referee};
 use crate::scenario::{Scenario, Trouble, micros};
 
@@ -758,7 +758,7 @@
                 }
             }
         }
-        let offered = class.offered(id, &of_job);
+        let offered = of_job.offered(id, class);
         let mut effects = Vec::new();
         match self.workers[worker as usize].0.offer(self.now, offered, &mut effects) {
             Offer::Taken => {
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -3,12 +3,12 @@
 use copperspread_decisions::{RequestId, SECOND};
 use copperspread_lab::compare::{Difference, compare, table};
 use copperspread_lab::model::arrivals::Arrivals;
-use copperspread_lab::model::worker::{Build, Effect, Life, Offer, Offered, Order, Worker};
+use copperspread_lab::model::worker::{Build, Effect, Life, Offer, Offered, Worker};
 use copperspread_lab::outcome::Outcome;
 use copperspread_lab::policy::Kind;
 use copperspread_lab::referee::{Heard, Referee, Rule};
 use copperspread_lab::report::html;
-use copperspread_lab::scenario::{Pair, Recorded, Scenario};
+use copperspread_lab::scenario::{Order, Pair, Recorded, Scenario};
 use copperspread_lab::sim::play;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
