--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -106,7 +106,7 @@
 /// Variants with their runs, of the same seeds in the same order, as rows; the first is compared with
 /// each other one.
 pub fn rows(variants: Vec<(String, Vec<Outcome>)>) -> Vec<Row> {
-    let shares = |runs: &[Outcome]| runs.iter().map(|run| run.worth.share()).collect::<Vec<f64>>();
+    let shares = |runs: &[Outcome]| runs.iter().map(|run| run.score()).collect::<Vec<f64>>();
     let first: Vec<f64> = variants.first().map_or_else(Vec::new, |(_, runs)| shares(runs));
     let row = |(at, (policy, runs)): (usize, (String, Vec<Outcome>))| {
         let shares = shares(&runs);
--- a/crates/lab/src/emulate/clients.rs
+++ b/crates/lab/src/emulate/clients.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use copperspread_decisions::{Micros, RequestId, SECOND};
+use copperspread_decisions::{Micros, RequestId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
 use rand::RngExt;
@@ -67,9 +67,8 @@
                 break if now.saturating_sub(of.at) <= wanted { End::InTime } else { End::Late };
             }
             Said::Refused(after) => {
-                let heeds = after.min(micros(stage.scenario.clients.heed));
-                let spread: f64 = chance.random();
-                let wait = heeds + micros(0.01 + 0.2 * spread * heeds as f64 / SECOND as f64);
+                let clients = &stage.scenario.clients;
+                let wait = clients.again.wait(after, clients.heed, chance.random());
                 if retries == 0 || now + wait + GRACE >= gives_up {
                     break End::Refused;
                 }
--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -139,6 +139,7 @@
         tokio::task::spawn_local(workers::listen(Rc::clone(&stage), worker as u32, socket.take()));
         tokio::task::spawn_local(workers::look(Rc::clone(&stage), worker as u32));
         tokio::task::spawn_local(workers::tell_progress(Rc::clone(&stage), worker as u32));
+        tokio::task::spawn_local(workers::refresh(Rc::clone(&stage), worker as u32));
     }
     let folder = tempfile::tempdir().map_err(wrong("a folder for configurations"))?;
     let mut processes = Vec::new();
@@ -291,6 +292,7 @@
         kinds: &world.kinds,
         attempts: world.attempts_sent,
         crossed: world.crossed,
+        probes: world.probed,
         fell: world.fell,
         held: world.held(),
         verdict: referee.verdict(),
--- a/crates/lab/src/emulate/program.rs
+++ b/crates/lab/src/emulate/program.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::policy::Kind;
-use crate::scenario::{Repeat, Scenario};
+use crate::scenario::{Repeat, Scenario, Scope};
 
 /// A program that does not say that it is ready by then is given up.
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -80,7 +80,12 @@
                 },
             });
             if class.repeat == Repeat::Keyed {
-                of["key_scope"] = "zone".into();
+                of["key_scope"] = match class.scope {
+                    Scope::All => "all",
+                    Scope::Zone => "zone",
+                    Scope::Cell => "cell",
+                }
+                .into();
                 of["window_s"] = class.window.into();
             }
             of
@@ -98,7 +103,7 @@
         "seed": format!("{:016x}", seed.wrapping_add(u64::from(scheduler) * 7919)),
         "settings": {
             "fleet_size": scenario.schedulers, "me": scheduler, "zone": scheduler % scenario.zones, "zones": zones,
-            "kinds": kinds, "classes": classes, "discovery": "pushed", "worth_by": "work",
+            "kinds": kinds, "classes": classes, "discovery": if scenario.discovery.on_request { "on_request" } else { "pushed" }, "worth_by": "work",
             "weights": if scenario.discovery.sizes > 0.0 { "live" } else { "silent" },
             "family_info": {"class_stretch": stretches, "tells_start": true},
             "permissions": {
@@ -113,6 +118,15 @@
             },
         },
     });
+    if let Some(probe) = scenario.reports.probe {
+        let settings = &mut config["settings"];
+        settings["permissions"]["probes"] = true.into();
+        settings["penalties"]["probe"] = probe.price.into();
+        settings["load_info"] = json!({
+            "how": "pull", "fields": ["qps", "inflight", "x0", "x1"], "period_s": scenario.reports.refresh,
+            "delay_s": probe.late, "noise": scenario.reports.noise,
+        });
+    }
     if let Some(known) = known {
         config["known"] = known.clone();
     }
--- a/crates/lab/src/emulate/stage.rs
+++ b/crates/lab/src/emulate/stage.rs
@@ -238,7 +238,7 @@
         worker: WorkerId(worker),
         zone: *zone,
         kind,
-        cell: *zone,
+        cell: world.cells[worker as usize],
         state,
         started_at: of.started_at,
         key: worker.into(),
@@ -246,21 +246,27 @@
     }
 }
 
+/// A load report's figures, by their names.
+fn figures(report: &Report) -> impl Iterator<Item = (&'static str, f64)> {
+    let all = [
+        ("x0", report.free_slots),
+        ("queue", report.queue),
+        ("util", report.util),
+        ("qps", report.qps),
+        ("inflight", report.inflight),
+        ("x1", report.free_memory),
+    ];
+    all.into_iter().filter_map(|(name, value)| Some((name, value?)))
+}
+
 /// A load report as an object.
 pub fn load_object(report: &Report) -> Value {
-    let mut of = json!({});
-    for (name, value) in [("x0", report.free_slots), ("queue", report.queue), ("util", report.util)] {
-        if let Some(value) = value {
-            of[name] = value.into();
-        }
-    }
-    of
+    figures(report).map(|(name, value)| (name.to_owned(), value)).collect()
 }
 
 /// A load report as a header.
 pub fn load_header(report: &Report) -> String {
-    let parts = [("x0", report.free_slots), ("queue", report.queue), ("util", report.util)];
-    let parts = parts.iter().filter_map(|(name, value)| value.map(|value| format!("{name}={value:.4}")));
+    let parts = figures(report).map(|(name, value)| format!("{name}={value:.4}"));
     format!("TEXT {}", parts.collect::<Vec<_>>().join(", "))
 }
 
--- a/crates/lab/src/emulate/workers.rs
+++ b/crates/lab/src/emulate/workers.rs
@@ -19,8 +19,8 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::emulate::socket::{Plan, Socket, reset};
-use crate::emulate::stage::{Answer, Door, LONGEST_BODY, Stage, load_header};
-use crate::emulate::world::Taken;
+use crate::emulate::stage::{Answer, Door, LONGEST_BODY, Stage, load_header, load_object};
+use crate::emulate::world::{Probed, Taken};
 use crate::scenario::micros;
 
 /// An idle connection is closed after this long, as the settings say.
@@ -145,9 +145,17 @@
 
 async fn serve(stage: &Rc<Stage>, worker: u32, request: Request<Incoming>, plan: &Cell<Plan>) -> Answer {
     if request.method() == Method::DELETE {
-        // A cancel stops no work: the worker has heard it, and that is all.
+        // It names the request: DELETE /jobs/ID.
+        let id = request.uri().path().strip_prefix("/jobs/");
+        if let Some(id) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) {
+            stage.act(|world| world.given_up(id, worker));
+            stage.ports[worker as usize].wake.notify_one();
+        }
         return plain(StatusCode::OK);
     }
+    if request.method() == Method::GET && matches!(request.uri().path(), "/-/load" | "/-/healthy") {
+        return probe(stage, worker, request.uri().path() == "/-/load", plan).await;
+    }
     let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok());
     let Some(id) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
         return plain(StatusCode::NOT_FOUND);
@@ -192,6 +200,48 @@
     }
 }
 
+/// A probe: 200, with the load where that was asked for, or 503.
+async fn probe(stage: &Rc<Stage>, worker: u32, load: bool, plan: &Cell<Plan>) -> Answer {
+    let probed = stage.act(|world| world.probe(worker));
+    stage.ports[worker as usize].wake.notify_one();
+    match probed {
+        Probed::Now(took) => sleep(Duration::from_micros(took)).await,
+        Probed::Waits(told) => {
+            if told.await.is_err() {
+                return plain(StatusCode::SERVICE_UNAVAILABLE);
+            }
+        }
+        Probed::Unwell => return plain(StatusCode::SERVICE_UNAVAILABLE),
+        Probed::Unknown => return plain(StatusCode::NOT_FOUND),
+        Probed::Failed => return plain(StatusCode::INTERNAL_SERVER_ERROR),
+        Probed::Reset => {
+            plan.set(Plan::Reset);
+            return Response::new(Full::new(Bytes::from_static(b"never written")));
+        }
+        Probed::Garbage => {
+            plan.set(Plan::Garbage);
+            return plain(StatusCode::OK);
+        }
+    }
+    if !load {
+        return plain(StatusCode::OK);
+    }
+    let report = stage.act(|world| world.load(worker));
+    Response::new(Full::from(load_object(&report).to_string()))
+}
+
+/// Refreshes what a worker tells when it is probed, where it is.
+pub async fn refresh(stage: Rc<Stage>, worker: u32) {
+    if stage.scenario.reports.probe.is_none() {
+        return;
+    }
+    let every = Duration::from_micros(micros(stage.scenario.reports.refresh));
+    loop {
+        stage.act(|world| world.refresh(worker));
+        sleep(every).await;
+    }
+}
+
 /// Tells how far a worker's jobs are, where workers do.
 pub async fn tell_progress(stage: Rc<Stage>, worker: u32) {
     let every = micros(stage.scenario.reports.progress);
@@ -248,7 +298,7 @@
         let text = format!(
             "name = 'one'\nabout = 'one worker'\nseconds = 9.0\nschedulers = 1\n[clients]\nrate = 1.0\n\
              [discovery]\ndelay = 0.0\n[[workers]]\nkind = 'w'\ncount = 1\ncores = 1.0\nslots = 1.0\n\
-             speed = [1.0, 1.0]\nqueue = 0\n[[classes]]\nname = 'c'\nshare = 1.0\nwork = 5.0\naim = 9.0\n\
+             speed = [1.0, 1.0]\nqueue = 0\nmemory = 4.0\n[[classes]]\nname = 'c'\nshare = 1.0\nwork = 5.0\naim = 9.0\n\
              deadline = 9.0\nworth = 1.0\nrepeat = 'safe'\n\
              [[faults]]\nat = 0.0\nlasts = 9.0\nshare = 1.0\nwhat = {what}\n{extra}"
         );
@@ -262,6 +312,7 @@
         spawn_local(listen(Rc::clone(&stage), 0, Some(socket)));
         spawn_local(look(Rc::clone(&stage), 0));
         spawn_local(tell_progress(Rc::clone(&stage), 0));
+        spawn_local(refresh(Rc::clone(&stage), 0));
         while TcpStream::connect(stage.address(0)).await.is_err() {
             tokio::task::yield_now().await;
         }
@@ -274,7 +325,7 @@
     }
 
     async fn hand_over_of(stage: &Rc<Stage>, work: f64) -> Result<String, ErrorKind> {
-        let of = Arrival { at: 0, class: 0, work, slots: 1.0, hint: None, scheduler: 0 };
+        let of = Arrival { at: 0, class: 0, work, slots: 1.0, memory: 1.5, hint: None, scheduler: 0 };
         let id = stage.act(|world| {
             world.job(1, of);
             world.ask(1, 0, 9 * SECOND)
@@ -360,6 +411,78 @@
         });
     }
 
+    // As a plain client hears it: status, and the load where it was asked for. The queue holds none here.
+    #[test]
+    fn a_worker_answers_probes_with_its_load() {
+        let probe = |deep| {
+            format!(
+                "[reports]\nnoise = 0.0\nrefresh = 0.1\nprobe = {{ work = 0.002, deep = {deep}, timeout = 1.0 }}"
+            )
+        };
+        let idle = Some([("inflight", 0.0), ("x0", 1.0), ("x1", 4.0)]);
+        let busy = Some([("inflight", 1.0), ("x0", 0.0), ("x1", 2.5)]);
+        // Settings, what goes wrong, whether a job runs, the path, and what is heard.
+        let cases = [
+            (probe(true), "{ slow = 1.0 }", false, "/-/load", 200, idle),
+            (probe(false), "{ slow = 1.0 }", true, "/-/load", 200, busy),
+            (probe(false), "{ slow = 1.0 }", true, "/-/healthy", 200, None),
+            (probe(true), "{ slow = 1.0 }", true, "/-/load", 503, None),
+            (probe(false), "'drain'", false, "/-/load", 503, None),
+            (probe(false), "{ failing = 1.0 }", false, "/-/load", 500, None),
+            (String::new(), "{ slow = 1.0 }", false, "/-/load", 404, None),
+        ];
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        for (settings, what, runs, path, status, load) in cases {
+            LocalSet::new().block_on(&runtime, async {
+                let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+                let stage = stage_of(what, 1, &settings, nobody).await;
+                stage.schedulers[0].1.set(false);
+                if runs {
+                    assert!(hand_over(&stage).await.is_ok_and(|heard| heard.starts_with("HTTP/1.1 202")));
+                }
+                stage.act(|world| world.turn(Turn { at: 0, fault: 0, whom: Some(0), begins: true }));
+                sleep(Duration::from_millis(250)).await;
+                let mut stream = TcpStream::connect(stage.address(0)).await.expect("a connection");
+                let text = format!("GET {path} HTTP/1.1\r\nHost: w\r\nConnection: close\r\n\r\n");
+                stream.write_all(text.as_bytes()).await.expect("sent");
+                let mut heard = String::new();
+                stream.read_to_string(&mut heard).await.expect("an answer");
+                assert!(
+                    heard.starts_with(&format!("HTTP/1.1 {status}")),
+                    "{settings} {what} {path}: {heard}"
+                );
+                let body = heard.split("\r\n\r\n").nth(1).unwrap_or_default();
+                let Some(load) = load else { return assert_eq!(body, "", "{settings} {what} {path}") };
+                let told: serde_json::Value = serde_json::from_str(body).expect("JSON");
+                for (name, value) in load {
+                    assert_eq!(told[name].as_f64(), Some(value), "{settings} {what} {path}: {told}");
+                }
+                assert!(told["qps"].as_f64().is_some() && told.get("queue").is_none(), "{told}");
+            });
+        }
+    }
+
+    // A job that was given up by the protocol's DELETE stops where the scenario has it so.
+    #[test]
+    fn a_delete_stops_the_job_where_it_does() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        for (settings, held) in [("[settings]\ncancel_stops = true", 0), ("", 1)] {
+            LocalSet::new().block_on(&runtime, async {
+                let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+                let stage = stage_of("{ slow = 1.0 }", 1, settings, nobody).await;
+                stage.schedulers[0].1.set(false);
+                let id = stage.act(|world| world.ask(0, 0, SECOND));
+                hand_over(&stage).await.expect("a 202");
+                let mut stream = TcpStream::connect(stage.address(0)).await.expect("a connection");
+                let text =
+                    format!("DELETE /jobs/{:016x} HTTP/1.1\r\nHost: w\r\nConnection: close\r\n\r\n", id + 1);
+                stream.write_all(text.as_bytes()).await.expect("sent");
+                stream.read_to_string(&mut String::new()).await.expect("an answer");
+                assert_eq!(stage.world.borrow().workers[0].0.holds(), held, "{settings:?}");
+            });
+        }
+    }
+
     // What a scheduler hears of a job of 0.3 s: the states in their order, and when the first one comes.
     #[test]
     fn call_backs_come_once_or_twice_late_or_never() {
--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -4,14 +4,15 @@
 use rand::RngExt;
 use rand_distr::{Distribution, Normal};
 use rustc_hash::FxHashMap;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::model::arrivals::Arrival;
 use crate::model::chance::{Chance, Stream, stream};
 use crate::model::fleet::{Fleet, Turn, cold_budget};
-use crate::model::keys::{Keys, Repeat};
+use crate::model::keys::{Keys, Repeat, group};
 use crate::model::wire::{Cut, Wire};
-use crate::model::worker::{self, Offer, Worker};
+use crate::model::worker::{self, Life, Offer, Offered, Worker};
 use crate::outcome::Tally;
 use crate::referee::Referee;
 use crate::scenario::{Scenario, Trouble, micros};
@@ -67,6 +68,25 @@
     Garbage,
 }
 
+/// A worker's answer to a probe.
+#[derive(Debug)]
+pub enum Probed {
+    /// 200, with its load after so long.
+    Now(Micros),
+    /// It waits its turn; what comes of it is told, or nothing when it was lost.
+    Waits(oneshot::Receiver<()>),
+    /// 503.
+    Unwell,
+    /// There are no probes here: 404.
+    Unknown,
+    /// 500.
+    Failed,
+    /// The connection is reset.
+    Reset,
+    /// Garbage.
+    Garbage,
+}
+
 struct Asked {
     job: u64,
     scheduler: u32,
@@ -93,6 +113,8 @@
     pub workers: Vec<(Worker, u32)>,
     /// Each worker's kind.
     pub kinds: Vec<u32>,
+    /// Each worker's cell.
+    pub cells: Vec<u32>,
     /// What goes wrong on their connections.
     pub wires: Vec<Wire>,
     /// The referee.
@@ -103,6 +125,8 @@
     pub attempts_sent: u64,
     /// Attempts that crossed zones.
     pub crossed: u64,
+    /// Probes that reached a worker.
+    pub probed: u64,
     /// Workers that fell over.
     pub fell: u64,
     /// News that is to be called back.
@@ -113,6 +137,7 @@
     requests: FxHashMap<u64, Asked>,
     jobs: FxHashMap<u64, Job>,
     attempts: FxHashMap<u64, Attempt>,
+    probes: FxHashMap<u64, oneshot::Sender<()>>,
     next: u64,
     reports_late: Micros,
     network: Chance,
@@ -127,10 +152,12 @@
             wires: vec![Wire::default(); fleet.workers.len()],
             workers: fleet.workers,
             kinds: fleet.kinds,
+            cells: fleet.cells,
             referee: Referee::new(cold_budget(scenario)),
             tally: Tally::new(scenario.classes.len(), scenario.zones),
             attempts_sent: 0,
             crossed: 0,
+            probed: 0,
             fell: 0,
             news: Vec::new(),
             changed: Vec::new(),
@@ -138,6 +165,7 @@
             requests: FxHashMap::default(),
             jobs: FxHashMap::default(),
             attempts: FxHashMap::default(),
+            probes: FxHashMap::default(),
             // Ids that look like no small number, as the platform's do.
             next: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 << 63,
             reports_late: 0,
@@ -219,15 +247,19 @@
         let arrival = of.of;
         let zone = self.workers[worker as usize].1;
         let effect = self.scenario.classes[arrival.class as usize].effect();
+        let group = match effect {
+            Effect::Keyed { scope, .. } => group(scope, zone, self.cells[worker as usize]),
+            _ => 0,
+        };
         self.next = self.next.wrapping_add(1);
         let id = self.next;
         let attempt = Attempt { request, job, worker, scheduler };
         if let Effect::Keyed { window, .. } = effect
             && self.workers[worker as usize].0.takes()
-            && let Some(repeat) = of.keys.repeat(id, zone, now, window)
+            && let Some(repeat) = of.keys.repeat(id, group, now, window)
         {
             self.attempts.insert(id, attempt);
-            self.referee.took(now, job, id, effect, zone, came);
+            self.referee.took(now, job, id, effect, group, came);
             if repeat == Repeat::Done {
                 self.tell(id, Kind::Done);
             }
@@ -237,6 +269,15 @@
         match cut {
             Cut::Before => return Taken::Reset,
             Cut::Garbage => return Taken::Garbage,
+            Cut::Fails => {
+                // As in virtual time: to the rules it may have run.
+                self.referee.took(now, job, id, effect, group, came);
+                self.referee.ran(now, job, effect);
+                self.attempts.insert(id, attempt);
+                self.tell(id, Kind::Failed);
+                self.attempts.remove(&id);
+                return Taken::Yes;
+            }
             Cut::Whole | Cut::After => {}
         }
         let offered = arrival.offered(id, &self.scenario.classes[arrival.class as usize]);
@@ -245,11 +286,11 @@
             Offer::Taken => {
                 self.held.0 += 1;
                 self.attempts.insert(id, attempt);
-                self.referee.took(now, job, id, effect, zone, came);
+                self.referee.took(now, job, id, effect, group, came);
                 if matches!(effect, Effect::Keyed { .. })
                     && let Some(of) = self.jobs.get_mut(&job)
                 {
-                    of.keys.took(id, zone, now);
+                    of.keys.took(id, group, now);
                 }
                 self.effects(worker, effects);
                 if cut == Cut::After { Taken::Half } else { Taken::Yes }
@@ -260,7 +301,83 @@
         }
     }
 
+    /// A request's attempts stop at a worker whose scheduler gave it up there.
+    pub fn given_up(&mut self, request: u64, worker: u32) {
+        if !self.scenario.settings.cancel_stops {
+            return;
+        }
+        self.hold();
+        let now = self.now();
+        let of = |(id, of): (&u64, &Attempt)| (of.request == request && of.worker == worker).then_some(*id);
+        let ids: Vec<u64> = self.attempts.iter().filter_map(of).collect();
+        for id in ids {
+            let mut effects = Vec::new();
+            if !self.workers[worker as usize].0.cancel(now, id, &mut effects) {
+                continue;
+            }
+            self.held.0 -= 1;
+            let job = self.attempts.get(&id).map(|of| of.job);
+            if let Some(of) = job.and_then(|job| self.jobs.get_mut(&job)) {
+                of.keys.handed_back(id);
+            }
+            self.over(id, Kind::Failed);
+            self.effects(worker, effects);
+        }
+    }
+
+    /// A probe comes to a worker.
+    pub fn probe(&mut self, worker: u32) -> Probed {
+        let Some(probe) = self.scenario.reports.probe else { return Probed::Unknown };
+        self.hold();
+        let now = self.now();
+        self.probed += 1;
+        match self.wires[worker as usize].meets(self.network.random()) {
+            Cut::Whole => {}
+            Cut::Before | Cut::After => return Probed::Reset,
+            Cut::Garbage => return Probed::Garbage,
+            Cut::Fails => return Probed::Failed,
+        }
+        let of = &mut self.workers[worker as usize].0;
+        if of.life != Life::Up {
+            return Probed::Unwell;
+        }
+        if !probe.deep {
+            of.charge(now, probe.work);
+            return Probed::Now(micros(probe.work / of.build.speed));
+        }
+        self.next = self.next.wrapping_add(1);
+        let id = self.next;
+        let mut effects = Vec::new();
+        if of.offer(now, Offered::probe(id, probe.work), &mut effects) != Offer::Taken {
+            return Probed::Unwell;
+        }
+        self.held.0 += 1;
+        let (tells, told) = oneshot::channel();
+        self.probes.insert(id, tells);
+        self.effects(worker, effects);
+        Probed::Waits(told)
+    }
+
+    /// A worker's load, as it tells whoever probes it.
+    pub fn load(&mut self, worker: u32) -> Report {
+        let now = self.now();
+        let late = self.scenario.reports.probe.map_or(0, |probe| micros(probe.late)) + self.reports_late;
+        self.workers[worker as usize].0.probed(now, late).unwrap_or_default()
+    }
+
+    /// A worker's figures for probes are refreshed.
+    pub fn refresh(&mut self, worker: u32) {
+        let (now, every) = (self.now(), micros(self.scenario.reports.refresh));
+        let (noise, sigma) = (&mut self.noise, self.scenario.reports.noise);
+        let draw = || Normal::new(0.0, sigma).map_or(0.0, |normal| normal.sample(noise));
+        self.workers[worker as usize].0.refresh(now, every, draw);
+    }
+
+    /// What comes along with an answer; nothing where workers are to be probed.
     fn report(&mut self, worker: u32) -> Report {
+        if self.scenario.reports.probe.is_some() {
+            return Report::default();
+        }
         let refresh = micros(self.scenario.reports.refresh) + self.reports_late;
         let (noise, sigma, now) = (&mut self.noise, self.scenario.reports.noise, self.began.elapsed());
         let draw = || Normal::new(0.0, sigma).map_or(0.0, |normal| normal.sample(noise));
@@ -321,6 +438,9 @@
                 }
                 worker::Effect::Done { attempt, told } => {
                     self.held.0 -= 1;
+                    if let Some(of) = self.probes.remove(&attempt) {
+                        let _ = of.send(());
+                    }
                     if told {
                         self.tell(attempt, Kind::Done);
                     }
@@ -328,11 +448,13 @@
                 }
                 worker::Effect::Lost(id) => {
                     self.held.0 -= 1;
+                    self.probes.remove(&id);
                     self.tell(id, Kind::Lost);
                     self.over(id, Kind::Lost);
                 }
                 worker::Effect::HandedBack(id) => {
                     self.held.0 -= 1;
+                    self.probes.remove(&id);
                     if let Some(job) = self.attempts.get(&id).map(|of| of.job) {
                         self.referee.handed_back(job, id);
                         if let Some(of) = self.jobs.get_mut(&job) {
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -165,13 +165,20 @@
         .header("x-request-id", format!("{id:016x}"))
         .header("x-timeout", format!("{left}m"))
         .header("idempotency-key", format!("{job:032x}"))
-        .header("x-attrs", format!("width={}", of.slots));
+        .header("x-attrs", attributes(of));
     if let Some(hint) = of.hint {
         request = request.header("x-cost", format!("{:.0}", hint * 1e6));
     }
     request.body(Full::from("a job")).ok()
 }
 
+fn attributes(of: &Arrival) -> String {
+    if of.memory > 0.0 {
+        return format!("width={},memory={:.4}", of.slots, of.memory);
+    }
+    format!("width={}", of.slots)
+}
+
 async fn ask(
     client: &Sender,
     target: SocketAddr,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -188,6 +188,8 @@
 }
 shipped!(
     "calm",
+    "calc",
+    "calc-cold",
     "slow-tenth",
     "burst",
     "heavy-tail",
@@ -284,6 +286,10 @@
         outcome.crossing,
         outcome.fell,
     );
+    if outcome.probes > 0 {
+        let each = outcome.probes as f64 / outcome.jobs.max(1) as f64;
+        text += &format!("{each:.2} probes a job cost {:.4} of the worth\n", outcome.probe_cost);
+    }
     for class in &outcome.classes {
         let [half, most, _] = class.served_ms;
         text += &format!(
--- a/crates/lab/src/model/arrivals.rs
+++ b/crates/lab/src/model/arrivals.rs
@@ -19,6 +19,8 @@
     pub work: f64,
     /// Its slots.
     pub slots: f64,
+    /// The memory that it holds while it runs.
+    pub memory: f64,
     /// The hint of its work.
     pub hint: Option<f64>,
     /// The scheduler that its first try goes to.
@@ -28,8 +30,8 @@
 impl Arrival {
     /// The job as an attempt offers it to a worker.
     pub fn offered(&self, attempt: u64, of: &Class) -> Offered {
-        let Arrival { class, work, slots, .. } = *self;
-        Offered { attempt, class, work, slots, memory: of.memory, worth: of.worth }
+        let Arrival { class, work, slots, memory, .. } = *self;
+        Offered { attempt, class, work, slots, memory, worth: of.worth }
     }
 }
 
@@ -91,7 +93,9 @@
             self.traced += 1;
             let scheduler = self.scheduler();
             let (at, class) = (micros(of.at), of.class);
-            let arrival = Arrival { at, class, work: of.work, slots: of.slots, hint: of.hint, scheduler };
+            let memory = self.scenario.classes[class as usize].memory * of.slots;
+            let arrival =
+                Arrival { at, class, work: of.work, slots: of.slots, memory, hint: of.hint, scheduler };
             return (of.at < scenario.seconds).then_some(arrival);
         }
         // A changing rate is stepped over at the rate of the last arrival: bursts last for many of them.
@@ -112,7 +116,16 @@
             Spread::LogNormal(sigma) => LogNormal::new(of.work.ln() - sigma * sigma / 2.0, sigma)
                 .map_or(of.work, |draw| draw.sample(&mut self.chance)),
         };
-        let wide = self.chance.random::<f64>() < of.wide;
+        let pick = self.chance.random::<f64>();
+        let slots =
+            if of.slots.is_empty() { 1.0 + f64::from(pick < of.wide) } else { width(&of.slots, pick) };
+        let mut memory = of.memory * slots;
+        if of.memory_spread > 0.0 {
+            // The mean stays the class's.
+            let sigma = of.memory_spread;
+            memory *=
+                LogNormal::new(-sigma * sigma / 2.0, sigma).map_or(1.0, |draw| draw.sample(&mut self.chance));
+        }
         let heavy = self.chance.random::<f64>() < 0.01;
         let error: f64 = LogNormal::new(0.0, scenario.clients.hint_error.unwrap_or(0.0))
             .map_or(1.0, |draw| draw.sample(&mut self.chance));
@@ -125,6 +138,16 @@
             work *= 20.0;
         }
         let at = micros(self.at);
-        Some(Arrival { at, class: class as u32, work, slots: if wide { 2.0 } else { 1.0 }, hint, scheduler })
+        Some(Arrival { at, class: class as u32, work, slots, memory, hint, scheduler })
     }
 }
+
+/// The slots of a job, by a number drawn evenly from 0 to 1.
+fn width(slots: &[[f64; 2]], pick: f64) -> f64 {
+    let mut left = pick * slots.iter().map(|[_, share]| share).sum::<f64>();
+    let at = slots.iter().position(|[_, share]| {
+        left -= share;
+        left < 0.0
+    });
+    at.or(slots.len().checked_sub(1)).map_or(1.0, |at| slots[at][0])
+}
--- a/crates/lab/src/model/fleet.rs
+++ b/crates/lab/src/model/fleet.rs
@@ -28,6 +28,8 @@
     pub workers: Vec<(Worker, u32)>,
     /// Each worker's kind: its group's place.
     pub kinds: Vec<u32>,
+    /// Each worker's cell; no two zones share one.
+    pub cells: Vec<u32>,
     /// Workers that the remembered list names and that are not there.
     pub gone: Vec<u32>,
     /// What goes wrong.
@@ -60,6 +62,8 @@
                 kinds.push(kind as u32);
             }
         }
+        let (zones, cells) = (scenario.zones, scenario.cells);
+        let cells = (0..workers.len() as u32).map(|at| at % zones + zones * (at / zones % cells)).collect();
         let mut chance = stream(seed, Stream::Faults);
         let gone = (scenario.discovery.stale * workers.len() as f64).round() as usize;
         let mut all: Vec<u32> = (0..workers.len() as u32).collect();
@@ -89,7 +93,7 @@
         for &at in &all {
             workers[at as usize].0.life = Life::Dead;
         }
-        Fleet { workers, kinds, gone: all, turns }
+        Fleet { workers, kinds, cells, gone: all, turns }
     }
 }
 
--- a/crates/lab/src/model/keys.rs
+++ b/crates/lab/src/model/keys.rs
@@ -1,10 +1,19 @@
-//! How workers drop repeats of a keyed job: by what was taken in a zone, and when.
-use copperspread_decisions::Micros;
+//! How workers drop repeats of a keyed job: by what was taken in their group, and when.
+use copperspread_decisions::{KeyScope, Micros};
+
+/// The group of workers that a worker shares the memory of keys with, by its zone and cell.
+pub fn group(scope: KeyScope, zone: u32, cell: u32) -> u32 {
+    match scope {
+        KeyScope::All => 0,
+        KeyScope::Zone => zone,
+        KeyScope::Cell => cell,
+    }
+}
 
 /// What workers remember of one client's job.
 #[derive(Clone, Debug, Default)]
 pub struct Keys {
-    /// The attempts that workers took: number, zone and when.
+    /// The attempts that workers took: number, group and when.
     taken: Vec<(u64, u32, Micros)>,
     /// Repeats that were dropped, which hear what becomes of the first.
     dropped: Vec<u64>,
@@ -22,9 +31,9 @@
 }
 
 impl Keys {
-    /// Whether an attempt that comes to a zone is a repeat, and then what of it; one that waits is kept.
-    pub fn repeat(&mut self, attempt: u64, zone: u32, now: Micros, window: Micros) -> Option<Repeat> {
-        if !self.taken.iter().any(|&(_, of, at)| of == zone && now <= at + window) {
+    /// Whether an attempt that comes to a group is a repeat, and then what of it; one that waits is kept.
+    pub fn repeat(&mut self, attempt: u64, group: u32, now: Micros, window: Micros) -> Option<Repeat> {
+        if !self.taken.iter().any(|&(_, of, at)| of == group && now <= at + window) {
             return None;
         }
         if self.done {
@@ -35,8 +44,8 @@
     }
 
     /// A worker took an attempt.
-    pub fn took(&mut self, attempt: u64, zone: u32, now: Micros) {
-        self.taken.push((attempt, zone, now));
+    pub fn took(&mut self, attempt: u64, group: u32, now: Micros) {
+        self.taken.push((attempt, group, now));
     }
 
     /// An attempt was handed back: the key is forgotten with it.
--- a/crates/lab/src/model/wire.rs
+++ b/crates/lab/src/model/wire.rs
@@ -10,6 +10,8 @@
     pub resetting: f64,
     /// The share of hand-overs that are answered with what is no HTTP; those never run.
     pub garbled: f64,
+    /// The share of hand-overs that fail at once; those never run.
+    pub failing: f64,
     /// Call-backs come so much later.
     pub late: Micros,
     /// Call-backs come twice.
@@ -27,6 +29,8 @@
     After,
     /// The answer is garbage; the job is not taken.
     Garbage,
+    /// The worker fails the job at once and says so.
+    Fails,
 }
 
 impl Wire {
@@ -35,6 +39,7 @@
         match what {
             Trouble::Resetting(share) => self.resetting = if begins { share } else { 0.0 },
             Trouble::Garbled(share) => self.garbled = if begins { share } else { 0.0 },
+            Trouble::Failing(share) => self.failing = if begins { share } else { 0.0 },
             Trouble::LateNews(by) => self.late = if begins { micros(by) } else { 0 },
             Trouble::DoubledNews => self.doubled = begins,
             _ => return false,
@@ -50,6 +55,8 @@
             Cut::After
         } else if draw < self.resetting + self.garbled {
             Cut::Garbage
+        } else if draw < self.resetting + self.garbled + self.failing {
+            Cut::Fails
         } else {
             Cut::Whole
         }
--- a/crates/lab/src/model/worker.rs
+++ b/crates/lab/src/model/worker.rs
@@ -50,6 +50,14 @@
     pub worth: f64,
 }
 
+impl Offered {
+    /// A probe that waits like a job of one slot.
+    pub fn probe(attempt: u64, work: f64) -> Offered {
+        // Of no class, so that no class's silence keeps its end back.
+        Offered { attempt, class: u32::MAX, work, slots: 1.0, memory: 0.0, worth: 0.0 }
+    }
+}
+
 /// What a worker does with an offer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -143,6 +151,10 @@
     /// Core-seconds done.
     pub done_work: f64,
     report: (Micros, Report),
+    /// What it tells when it is probed: its figures as they were refreshed, the newest last.
+    refreshed: VecDeque<(Micros, Report)>,
+    /// Jobs offered since the last refresh.
+    came: u32,
 }
 
 /// While cold, speeds are looked at anew this often.
@@ -176,6 +188,8 @@
                     ..Report::default()
                 },
             ),
+            refreshed: VecDeque::new(),
+            came: 0,
         }
     }
 
@@ -244,6 +258,7 @@
             Life::Draining => return Offer::Full,
             Life::Up => {}
         }
+        self.came += 1;
         self.count(now);
         let fits = self.fits(&job);
         if !fits && self.waiting.len() >= self.build.queue {
@@ -314,14 +329,10 @@
                 continue;
             }
             let of = self.running.remove(at);
-            self.used -= of.job.slots;
-            self.held -= of.job.memory;
+            self.let_go(&of.job);
             let told = self.silent != Some(of.job.class);
             effects.push(Effect::Done { attempt: of.job.attempt, told });
         }
-        if self.running.is_empty() {
-            (self.used, self.held) = (0.0, 0.0);
-        }
         self.start(effects);
     }
 
@@ -336,6 +347,38 @@
         if self.warmth(now) < 1.0 { Some(ends.min(now + COLD_STEP)) } else { Some(ends) }
     }
 
+    /// What a scheduler no longer waits for stops, waiting or running; whether it was here.
+    pub fn cancel(&mut self, now: Micros, attempt: u64, effects: &mut Vec<Effect>) -> bool {
+        self.count(now);
+        if let Some(at) = self.running.iter().position(|of| of.job.attempt == attempt) {
+            let of = self.running.remove(at);
+            self.let_go(&of.job);
+        } else if let Some(at) = self.waiting.iter().position(|job| job.attempt == attempt) {
+            self.waiting.remove(at);
+        } else {
+            return false;
+        }
+        self.start(effects);
+        true
+    }
+
+    fn let_go(&mut self, job: &Offered) {
+        self.used -= job.slots;
+        self.held -= job.memory;
+        if self.running.is_empty() {
+            (self.used, self.held) = (0.0, 0.0);
+        }
+    }
+
+    /// Work beside the jobs, as for an answer: one core does it, and what runs there waits.
+    pub fn charge(&mut self, now: Micros, work: f64) {
+        self.count(now);
+        for of in &mut self.running {
+            of.left += work / self.build.cores;
+        }
+        self.epoch += 1;
+    }
+
     /// A change from outside: speeds, silence, refusal.
     pub fn change(&mut self, now: Micros, change: impl FnOnce(&mut Worker)) {
         self.count(now);
@@ -377,6 +420,7 @@
         self.count(now);
         (self.life, self.started_at) = (Life::Up, Some(now));
         (self.slow, self.stuck, self.silent, self.refusing) = (1.0, false, None, false);
+        self.refreshed.clear();
         self.epoch += 1;
     }
 
@@ -409,6 +453,28 @@
         Truth { wait, rate, takes: self.takes() && !self.stuck }
     }
 
+    /// Its figures for probes are refreshed, `every` so long; each has its noise, of so many slots.
+    pub fn refresh(&mut self, now: Micros, every: Micros, mut noise: impl FnMut() -> f64) {
+        let Build { slots, memory, .. } = self.build;
+        let came = f64::from(std::mem::take(&mut self.came)) * SECOND as f64 / every.max(1) as f64;
+        let report = Report {
+            qps: Some((came + noise()).max(0.0)),
+            inflight: Some((self.holds() as f64 + noise()).max(0.0)),
+            free_slots: Some((slots - self.used + noise()).clamp(0.0, slots)),
+            free_memory: memory.is_finite().then(|| (memory - self.held + noise()).clamp(0.0, memory)),
+            ..Report::default()
+        };
+        self.refreshed.push_back((now, report));
+    }
+
+    /// What it tells when it is probed: the newest figures that were refreshed `late` ago or before.
+    pub fn probed(&mut self, now: Micros, late: Micros) -> Option<Report> {
+        while self.refreshed.get(1).is_some_and(|&(at, _)| at + late <= now) {
+            self.refreshed.pop_front();
+        }
+        self.refreshed.front().filter(|&&(at, _)| at + late <= now).map(|&(_, report)| report)
+    }
+
     /// Its load report, as old as its refreshing makes it; `noise` spreads the figures.
     pub fn report(&mut self, now: Micros, refresh: Micros, noise: impl FnOnce() -> f64) -> Report {
         if now >= self.report.0 + refresh {
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -115,6 +115,12 @@
     pub attempts: f64,
     /// The share of attempts that went to another zone.
     pub crossing: f64,
+    /// Probes that were sent.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub probes: u64,
+    /// What they cost, in the share of the worth.
+    #[serde(default, skip_serializing_if = "is_free")]
+    pub probe_cost: f64,
     /// Workers that fell over.
     pub fell: u64,
     /// Core-seconds done.
@@ -130,6 +136,21 @@
     pub measured: Option<Measured>,
 }
 
+fn is_none(count: &u64) -> bool {
+    *count == 0
+}
+
+fn is_free(cost: &f64) -> bool {
+    *cost == 0.0
+}
+
+impl Outcome {
+    /// The share of the worth that was served in time, less what probes cost.
+    pub fn score(&self) -> f64 {
+        self.worth.share() - self.probe_cost
+    }
+}
+
 /// What the machine showed in a run in real time.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Measured {
@@ -161,6 +182,8 @@
     pub attempts: u64,
     /// Those of them that crossed zones.
     pub crossed: u64,
+    /// Probes that were sent.
+    pub probes: u64,
     /// Workers that fell over.
     pub fell: u64,
     /// Jobs in the workers, added up over microseconds.
@@ -190,6 +213,9 @@
             workers: of_workers(self.workers, self.kinds, scenario.seconds),
             attempts: self.attempts as f64 / jobs.max(1) as f64,
             crossing: self.crossed as f64 / self.attempts.max(1) as f64,
+            probes: self.probes,
+            probe_cost: scenario.reports.probe.map_or(0.0, |probe| probe.price) * self.probes as f64
+                / jobs.max(1) as f64,
             fell: self.fell,
             work_done: self.workers.iter().map(|(worker, _)| worker.done_work).sum(),
             held: self.held / (scenario.seconds * SECOND as f64),
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,7 +1,7 @@
 //! What chooses: the decision module, textbook baselines, and schedulers that are broken on purpose.
 use copperspread_decisions::{
-    Action, AttemptOutcome, Decide, Dispatcher, Event, Job, Micros, Outcome, Refusal, RequestId, Roster,
-    RosterKind, SECOND, Settings, WorkerEntry, WorkerId, WorkerState,
+    Action, AttemptOutcome, Decide, Discovery, Dispatcher, Event, Job, Micros, Outcome, Progress, Refusal,
+    RequestId, Roster, RosterKind, SECOND, Settings, WorkerEntry, WorkerId, WorkerState,
 };
 use rand::RngExt;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -37,6 +37,8 @@
     LeastOutstanding,
     /// The one with fewer jobs of this scheduler, of two at random.
     TwoChoices,
+    /// The one with the least work of this scheduler, by hint and over its speed as learned; refuses none.
+    LeastCost,
     /// The one that would truly end it first, refusing what would be too late.
     Oracle,
     /// The module, broken: answers some twice.
@@ -53,12 +55,13 @@
 
 impl Kind {
     /// Those that are compared.
-    pub const COMPARED: [Kind; 6] = [
+    pub const COMPARED: [Kind; 7] = [
         Kind::Copperspread,
         Kind::Random,
         Kind::RoundRobin,
         Kind::LeastOutstanding,
         Kind::TwoChoices,
+        Kind::LeastCost,
         Kind::Oracle,
     ];
 
@@ -73,13 +76,15 @@
     /// Settings that the decision module does not take.
     pub fn make(self, settings: Settings, seed: u64, chance: Chance) -> Result<Box<dyn Policy>, String> {
         let module = |settings| Dispatcher::new(settings, seed).map_err(|e| e.to_string());
-        let plain = |pick| Box::new(Baseline::new(pick, chance.clone()));
+        let asks = settings.discovery == Discovery::OnRequest;
+        let plain = |pick| Box::new(Baseline { asks, ..Baseline::new(pick, chance.clone()) });
         Ok(match self {
             Kind::Copperspread => Box::new(module(settings)?),
             Kind::Random => plain(Pick::Random),
             Kind::RoundRobin => plain(Pick::RoundRobin),
             Kind::LeastOutstanding => plain(Pick::Least),
             Kind::TwoChoices => plain(Pick::Two),
+            Kind::LeastCost => plain(Pick::Cost),
             Kind::Oracle => plain(Pick::Truth),
             Kind::FloodsTheNew => plain(Pick::Newest),
             Kind::AnswersTwice | Kind::NeverAnswers | Kind::Resends | Kind::IgnoresDrains => {
@@ -103,6 +108,7 @@
     RoundRobin,
     Least,
     Two,
+    Cost,
     Truth,
     Newest,
 }
@@ -114,6 +120,12 @@
     workers: Vec<(WorkerState, Option<Micros>)>,
     ready: Vec<u32>,
     outstanding: Vec<u32>,
+    /// Work of this scheduler at each worker, in core-seconds by hint.
+    cost: Vec<f64>,
+    /// Each worker's speed, as its jobs' running times against their hints tell.
+    speed: Vec<f64>,
+    /// The list must be asked for.
+    asks: bool,
     turn: usize,
     truth: Vec<Truth>,
     open: FxHashMap<RequestId, Open>,
@@ -123,11 +135,20 @@
     job: Job,
     deadline: Micros,
     at: Vec<WorkerId>,
+    /// When its last attempt was sent or, later, told to have started.
+    since: Micros,
     answered: bool,
 }
 
+/// A job's work by its hint, in core-seconds.
+fn work(job: &Job) -> f64 {
+    job.cost_hint.unwrap_or(1.0) * job.slots.unwrap_or(1.0)
+}
+
 /// Most attempts of a baseline.
 const TRIES: usize = 3;
+/// How much of a learned speed one job's time replaces.
+const SPEED_GAIN: f64 = 0.1;
 
 impl Baseline {
     fn new(pick: Pick, chance: Chance) -> Baseline {
@@ -137,6 +158,9 @@
             workers: Vec::new(),
             ready: Vec::new(),
             outstanding: Vec::new(),
+            cost: Vec::new(),
+            speed: Vec::new(),
+            asks: false,
             turn: 0,
             truth: Vec::new(),
             open: FxHashMap::default(),
@@ -152,6 +176,8 @@
             if self.workers.len() <= at {
                 self.workers.resize(at + 1, (WorkerState::Gone, None));
                 self.outstanding.resize(at + 1, 0);
+                self.cost.resize(at + 1, 0.0);
+                self.speed.resize(at + 1, 1.0);
             }
             self.workers[at] = (entry.state, entry.started_at);
         }
@@ -193,6 +219,14 @@
                 let order = (0..ready.len()).map(|step| ready[(from + step) % ready.len()]);
                 order.min_by_key(|&at| self.outstanding[at as usize])?
             }
+            Pick::Cost => {
+                // Ties go round, as above.
+                self.turn += 1;
+                let (from, own) = (self.turn % ready.len(), work(job));
+                let cost = |at: u32| (self.cost[at as usize] + own) / self.speed[at as usize];
+                let order = (0..ready.len()).map(|step| ready[(from + step) % ready.len()]);
+                order.min_by(|&a, &b| cost(a).total_cmp(&cost(b)))?
+            }
             Pick::Newest => ready.iter().copied().max_by_key(|&at| self.workers[at as usize].1)?,
             Pick::Truth => {
                 let ends = |at: u32| {
@@ -209,12 +243,14 @@
         })
     }
 
-    fn send(&mut self, id: RequestId, mut open: Open, actions: &mut Vec<Action>) {
+    fn send(&mut self, now: Micros, id: RequestId, mut open: Open, actions: &mut Vec<Action>) {
         match self.choose(&open.job, &open.at) {
             Some(at) => {
                 let worker = WorkerId(at);
                 open.at.push(worker);
                 self.outstanding[at as usize] += 1;
+                self.cost[at as usize] += work(&open.job);
+                open.since = now;
                 actions.push(Action::Send { request: id, worker, estimate: 0 });
                 self.open.insert(id, open);
             }
@@ -225,14 +261,21 @@
     fn outcome(&mut self, now: Micros, end: AttemptOutcome, actions: &mut Vec<Action>) {
         let Some(mut open) = self.open.remove(&end.request) else { return };
         if let Some(worker) = open.at.get(end.attempt as usize) {
-            let outstanding = &mut self.outstanding[worker.0 as usize];
-            *outstanding = outstanding.saturating_sub(1);
+            let at = worker.0 as usize;
+            self.outstanding[at] = self.outstanding[at].saturating_sub(1);
+            // What is left of many sums and differences is no work.
+            self.cost[at] = if self.outstanding[at] == 0 { 0.0 } else { self.cost[at] - work(&open.job) };
+            let took = now.saturating_sub(open.since) as f64 / SECOND as f64;
+            if end.outcome == Outcome::Served && took > 0.0 {
+                let speed = (open.job.cost_hint.unwrap_or(1.0) / took).clamp(0.05, 5.0);
+                self.speed[at] += (speed - self.speed[at]) * SPEED_GAIN;
+            }
         }
         if end.finished || open.answered {
             return;
         }
         if end.outcome.never_ran() && open.at.len() < TRIES && now < open.deadline {
-            return self.send(end.request, open, actions);
+            return self.send(now, end.request, open, actions);
         }
         open.answered = true;
         actions.push(Action::Fail { request: end.request });
@@ -242,10 +285,24 @@
 impl Decide for Baseline {
     fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
-            Event::Roster(roster) => self.roster(roster),
+            Event::Roster(roster) => {
+                // Awake, or turned away.
+                if self.asks && matches!(roster.kind, RosterKind::Remembered | RosterKind::Failed) {
+                    actions.push(Action::Subscribe);
+                }
+                if roster.kind != RosterKind::Failed {
+                    self.roster(roster);
+                }
+            }
+            Event::Progress { request, progress: Progress::Started, .. } => {
+                if let Some(open) = self.open.get_mut(&request) {
+                    open.since = now;
+                }
+            }
             Event::Job(job) => {
-                let open = Open { job, deadline: now + job.time_left, at: Vec::new(), answered: false };
-                self.send(job.request, open, actions);
+                let deadline = now + job.time_left;
+                let open = Open { job, deadline, at: Vec::new(), since: now, answered: false };
+                self.send(now, job.request, open, actions);
             }
             Event::Outcome(end) => self.outcome(now, end, actions),
             _ => {}
--- a/crates/lab/src/referee.rs
+++ b/crates/lab/src/referee.rs
@@ -1,7 +1,7 @@
 //! Knows what clients and workers saw and what the list told, and nothing that a scheduler claims.
 use std::collections::VecDeque;
 
-use copperspread_decisions::{Effect, Micros, RequestId, SECOND};
+use copperspread_decisions::{Effect, KeyScope, Micros, RequestId, SECOND};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
@@ -78,7 +78,7 @@
 struct Runs {
     /// Starts, of a job that must never run twice.
     starts: u32,
-    /// Attempts that a worker took: number, zone and when each was sent.
+    /// Attempts that a worker took: number, group and when each was sent.
     taken: Vec<(u64, u32, Micros)>,
 }
 
@@ -183,17 +183,24 @@
         }
     }
 
-    /// A worker of a zone took an attempt, which may run from now on. Repeats are dropped only in the
-    /// zone of the first, and only so long after that was sent.
-    pub fn took(&mut self, now: Micros, job: u64, attempt: u64, effect: Effect, zone: u32, sent_at: Micros) {
-        let Effect::Keyed { window, .. } = effect else { return };
+    /// A worker of a group (see [`crate::model::keys::group`]) took an attempt, which may run from now on.
+    /// Repeats are dropped only in the group of the first, and only so long after that was sent.
+    pub fn took(&mut self, now: Micros, job: u64, attempt: u64, effect: Effect, group: u32, sent_at: Micros) {
+        let Effect::Keyed { scope, window } = effect else { return };
         let runs = self.runs.entry(job).or_default();
         let first = runs.taken.iter().copied().min_by_key(|&(_, _, sent)| sent);
-        runs.taken.push((attempt, zone, sent_at));
+        runs.taken.push((attempt, group, sent_at));
         if let Some((_, at, sent)) = first
-            && (at != zone || sent_at > sent + window + GRACE)
+            && (at != group || sent_at > sent + window + GRACE)
         {
-            self.breach(Rule::KeyedTwice, now, || format!("job {job}, sent to zone {at} and to zone {zone}"));
+            let of = match scope {
+                KeyScope::All => "group",
+                KeyScope::Zone => "zone",
+                KeyScope::Cell => "cell",
+            };
+            self.breach(Rule::KeyedTwice, now, || {
+                format!("job {job}, sent to {of} {at} and to {of} {group}")
+            });
         }
     }
 
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -15,6 +15,9 @@
     /// Zones; schedulers, workers and clients are dealt to them in turn.
     #[serde(default = "one")]
     pub zones: u32,
+    /// Cells in each zone, to which its workers are dealt in turn.
+    #[serde(default = "one", skip_serializing_if = "is_one")]
+    pub cells: u32,
     /// Schedulers in all.
     pub schedulers: u32,
     /// Groups of workers.
@@ -55,11 +58,20 @@
     pub may_cancel: bool,
     /// What an attempt in another zone costs, in the worth of a unit of work.
     pub price_cross_zone: f64,
+    /// An attempt that is cancelled or timed out stops at its worker, waiting or running.
+    #[serde(skip_serializing_if = "is_false")]
+    pub cancel_stops: bool,
 }
 
 impl Default for Tuning {
     fn default() -> Tuning {
-        Tuning { max_attempts: 4, second_copies: true, may_cancel: true, price_cross_zone: 0.03 }
+        Tuning {
+            max_attempts: 4,
+            second_copies: true,
+            may_cancel: true,
+            price_cross_zone: 0.03,
+            cancel_stops: false,
+        }
     }
 }
 
@@ -67,6 +79,18 @@
     1
 }
 
+fn is_one(value: &u32) -> bool {
+    *value == 1
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+fn is_zero(value: &f64) -> bool {
+    *value == 0.0
+}
+
 /// In which order waiting jobs start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -100,7 +124,8 @@
     /// The order in which they start.
     #[serde(default)]
     pub order: Order,
-    /// Memory of each, in megabytes; absent, it never fills.
+    /// Memory of each, in the unit of the classes'; absent, it never fills. Schedulers take a
+    /// worker to have one unit for each slot.
     #[serde(default)]
     pub memory: Option<f64>,
 }
@@ -121,6 +146,25 @@
     Safe,
 }
 
+/// Which workers drop a repeat of a key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Scope {
+    /// All of them.
+    All,
+    /// Those of a zone.
+    #[default]
+    Zone,
+    /// Those of a cell.
+    Cell,
+}
+
+impl Scope {
+    fn is_zone(&self) -> bool {
+        *self == Scope::Zone
+    }
+}
+
 /// How the work of a class's jobs is spread round its mean.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -150,9 +194,15 @@
     /// The share of jobs that take two slots.
     #[serde(default)]
     pub wide: f64,
-    /// Memory that a job holds while it runs, in megabytes.
+    /// In place of `wide`: how many slots a job takes, each with its share of the jobs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub slots: Vec<[f64; 2]>,
+    /// Mean memory that a job holds for each of its slots while it runs.
     #[serde(default)]
     pub memory: f64,
+    /// Sigma of its log-normal spread; 0: all alike.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub memory_spread: f64,
     /// An answer in time comes within so many seconds ...
     pub aim: f64,
     /// ... plus so many times the job's own work.
@@ -164,6 +214,9 @@
     pub worth: f64,
     /// What may be repeated.
     pub repeat: Repeat,
+    /// For `keyed`: which workers drop a repeat.
+    #[serde(default, skip_serializing_if = "Scope::is_zone")]
+    pub scope: Scope,
     /// For `keyed`: for how many seconds a repeat is dropped.
     #[serde(default)]
     pub window: f64,
@@ -181,6 +234,9 @@
     /// Clients heed `Retry-After` up to so many seconds.
     #[serde(default = "two")]
     pub heed: f64,
+    /// When they try again.
+    #[serde(default, skip_serializing_if = "Again::heeds")]
+    pub again: Again,
     /// A client that has heard nothing so many seconds after its time breaks a rule; more than the
     /// default is for machines that stall, and tests that must not fail for it.
     #[serde(default = "grace")]
@@ -197,6 +253,38 @@
     pub hint_error: Option<f64>,
 }
 
+/// When clients try again after a refusal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Again {
+    /// When `Retry-After` says, and a little later.
+    #[default]
+    Heed,
+    /// At once, whatever they were told.
+    AtOnce,
+    /// After so many seconds, whatever they were told.
+    After(f64),
+}
+
+impl Again {
+    fn heeds(&self) -> bool {
+        *self == Again::Heed
+    }
+
+    /// How long a client waits that was told to stay away for `told`, of which it heeds so much at most;
+    /// `spread` is drawn evenly from 0 to 1.
+    pub fn wait(self, told: Micros, heed: f64, spread: f64) -> Micros {
+        match self {
+            Again::Heed => {
+                let heeds = told.min(micros(heed));
+                heeds + micros(0.01 + 0.2 * spread * heeds as f64 / SECOND as f64)
+            }
+            Again::AtOnce => 0,
+            Again::After(wait) => micros(wait),
+        }
+    }
+}
+
 /// Schedulers that get more clients than the others.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -295,11 +383,14 @@
     /// The list tells each worker's size, divided by 1 and the jobs it holds a core, renewed every so
     /// many seconds; 0: never. In virtual time only.
     pub sizes: f64,
+    /// The list is told only to whom asks for it. In real time the agents stay, one for each scheduler.
+    #[serde(skip_serializing_if = "is_false")]
+    pub on_request: bool,
 }
 
 impl Default for Discovery {
     fn default() -> Discovery {
-        Discovery { delay: 2.0, first_after: 0.0, stale: 0.0, sizes: 0.0 }
+        Discovery { delay: 2.0, first_after: 0.0, stale: 0.0, sizes: 0.0, on_request: false }
     }
 }
 
@@ -313,11 +404,33 @@
     pub noise: f64,
     /// Workers tell how far running jobs are, so many seconds apart; 0: never.
     pub progress: f64,
+    /// Answers carry no report: workers tell their load only when they are probed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub probe: Option<Probe>,
+}
+
+/// How workers are probed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Probe {
+    /// What answering one costs the worker, in seconds at speed 1.
+    pub work: f64,
+    /// A probe waits in the queue as a job of one slot does; else it is answered at once.
+    #[serde(default)]
+    pub deep: bool,
+    /// A scheduler waits for the answer for so many seconds.
+    pub timeout: f64,
+    /// A report tells what was true so many seconds before.
+    #[serde(default)]
+    pub late: f64,
+    /// What one probe a job costs, in the share of the worth.
+    #[serde(default)]
+    pub price: f64,
 }
 
 impl Default for Reports {
     fn default() -> Reports {
-        Reports { refresh: 1.0, noise: 0.1, progress: 0.0 }
+        Reports { refresh: 1.0, noise: 0.1, progress: 0.0, probe: None }
     }
 }
 
@@ -407,6 +520,9 @@
     DiscoveryMoves,
     /// So great a share of the hand-overs to them is answered with what is no HTTP; they never run.
     Garbled(f64),
+    /// They fail so great a share of the hand-overs at once: those never run, but to the rules they may
+    /// have, as nobody is told.
+    Failing(f64),
     /// Their call-backs come so many seconds late.
     LateNews(f64),
     /// They say everything twice.
@@ -472,6 +588,23 @@
         if sizes != 0.0 && !(0.05..=3_600.0).contains(&sizes) {
             return Err(format!("discovery.sizes: {sizes} is neither 0 nor between 0.05 and 3600"));
         }
+        if self.cells == 0 {
+            return Err("cells: at least one in each zone".into());
+        }
+        if let Again::After(wait) = self.clients.again
+            && !(wait.is_finite() && wait >= 0.0)
+        {
+            return Err(format!("clients.again: {wait} is not 0 or more"));
+        }
+        if let Some(probe) = self.reports.probe {
+            positive("reports.refresh", self.reports.refresh)?;
+            positive("reports.probe.timeout", probe.timeout)?;
+            for (name, value) in [("work", probe.work), ("late", probe.late), ("price", probe.price)] {
+                if !value.is_finite() || value < 0.0 {
+                    return Err(format!("reports.probe.{name}: {value} is not 0 or more"));
+                }
+            }
+        }
         if self.zones == 0 || self.schedulers == 0 || self.classes.is_empty() || self.workers.is_empty() {
             return Err("zones, schedulers, workers and classes: at least one of each".into());
         }
@@ -501,6 +634,20 @@
             ] {
                 positive(&format!("class {:?}: {name}", class.name), value)?;
             }
+            for value in class.slots.as_flattened() {
+                positive(&format!("class {:?}: slots", class.name), *value)?;
+            }
+            if class.wide > 0.0 && !class.slots.is_empty() {
+                return Err(format!(
+                    "class {:?}: wide and slots say the same thing; one of them",
+                    class.name
+                ));
+            }
+            for (name, value) in [("memory", class.memory), ("memory_spread", class.memory_spread)] {
+                if !value.is_finite() || value < 0.0 {
+                    return Err(format!("class {:?}: {name}: {value} is not 0 or more", class.name));
+                }
+            }
         }
         if self.clients.trace.windows(2).any(|pair| pair[0].at > pair[1].at) {
             return Err("clients.trace: not in the order of its instants".into());
@@ -551,7 +698,7 @@
                 }
             }
             let broken = match fault.what {
-                Trouble::Resetting(share) | Trouble::Garbled(share) => share,
+                Trouble::Resetting(share) | Trouble::Garbled(share) | Trouble::Failing(share) => share,
                 _ => 0.0,
             };
             if let Trouble::LateNews(by) | Trouble::ReportsLate(by) = fault.what
@@ -594,6 +741,13 @@
             may_cancel: self.settings.may_cancel,
             tells_start: true,
             price_cross_zone: self.settings.price_cross_zone,
+            reports_by_probe: self.reports.probe.is_some(),
+            price_probe: self.reports.probe.map_or(0.0, |probe| probe.price),
+            discovery: if self.discovery.on_request {
+                decisions::Discovery::OnRequest
+            } else {
+                decisions::Discovery::Pushed
+            },
             ..Settings::default()
         }
     }
@@ -604,17 +758,33 @@
             f64::from(group.count) * group.cores.min(group.slots) * (group.speed[0] + group.speed[1]) / 2.0
         };
         let shares: f64 = self.classes.iter().map(|class| class.share).sum();
-        let work = |class: &Class| class.share / shares * class.work * (1.0 + class.wide);
+        let work = |class: &Class| class.share / shares * class.work * class.mean_slots();
         self.workers.iter().map(cores).sum::<f64>() / self.classes.iter().map(work).sum::<f64>()
     }
 }
 
 impl Class {
+    /// The slots that a job takes in the mean.
+    pub fn mean_slots(&self) -> f64 {
+        if self.slots.is_empty() {
+            return 1.0 + self.wide;
+        }
+        let shares: f64 = self.slots.iter().map(|[_, share]| share).sum();
+        self.slots.iter().map(|[slots, share]| slots * share / shares).sum()
+    }
+
     /// What may be repeated, in the module's form.
     pub fn effect(&self) -> Effect {
         match self.repeat {
             Repeat::Safe => Effect::Safe,
-            Repeat::Keyed => Effect::Keyed { scope: decisions::KeyScope::Zone, window: micros(self.window) },
+            Repeat::Keyed => {
+                let scope = match self.scope {
+                    Scope::All => decisions::KeyScope::All,
+                    Scope::Zone => decisions::KeyScope::Zone,
+                    Scope::Cell => decisions::KeyScope::Cell,
+                };
+                Effect::Keyed { scope, window: micros(self.window) }
+            }
             Repeat::Never => Effect::Unsafe,
         }
     }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use copperspread_decisions::{
-    Action, AttemptOutcome, Effect, Event, Job, Micros, Outcome as Ended, Progress, RequestId, Roster,
-    RosterKind, SECOND, Timer, WorkerEntry, WorkerId, WorkerState,
+    Action, AttemptOutcome, Effect, Event, Job, Micros, Outcome as Ended, Progress, Report, RequestId,
+    Roster, RosterKind, SECOND, Timer, WorkerEntry, WorkerId, WorkerState,
 };
 use rand::RngExt;
 use rand_distr::{Distribution, Exp1, Normal};
@@ -18,9 +18,9 @@
 use crate::model::arrivals::{Arrival, Arrivals};
 use crate::model::chance::{Chance, Stream, stream};
 use crate::model::fleet::{Fleet, Turn, cold_budget};
-use crate::model::keys::{Keys, Repeat};
+use crate::model::keys::{Keys, Repeat, group};
 use crate::model::wire::{Cut, Wire};
-use crate::model::worker::{self, Offer, Truth, Worker};
+use crate::model::worker::{self, Offer, Offered, Truth, Worker};
 use crate::outcome::{End, Outcome, Played, Tally};
 use crate::policy::{Kind, Policy};
 use crate::referee::{Heard, Referee};
@@ -32,6 +32,8 @@
 const CONNECT: Micros = 250_000;
 /// An idle connection is closed after so long.
 const KEEPALIVE: Micros = 5 * SECOND;
+/// A call to a discovery that is down fails after so long.
+const NO_LIST: Micros = SECOND;
 /// What a lost message costs.
 const RESENT: Micros = 200_000;
 /// How long a list that contradicts itself stays before the other one comes.
@@ -59,6 +61,14 @@
     Contradict(bool),
     /// The list's sizes are renewed.
     Sizes,
+    /// An attempt that its scheduler gave up is to stop at its worker.
+    Stop(u64),
+    /// A probe is at its worker.
+    ProbeThere(u64),
+    /// What came of a probe is at its scheduler.
+    ProbeEnds(u64, Ended, Option<Report>),
+    /// A worker's figures for probes are refreshed.
+    Refresh(u32),
 }
 
 /// A final answer on its way.
@@ -123,6 +133,16 @@
     there: bool,
     /// Its connection breaks after the job was taken.
     breaks: bool,
+    /// It is to stop at its worker, which it may not have reached.
+    stops: bool,
+}
+
+/// A probe that its scheduler waits for.
+#[derive(Clone, Copy)]
+struct Probing {
+    scheduler: u32,
+    life: u32,
+    worker: u32,
 }
 
 struct Scheduler {
@@ -134,6 +154,8 @@
     takes: bool,
     /// How often its process died.
     life: u32,
+    /// Changes of the list are told to it.
+    subscribed: bool,
 }
 
 /// Plays a scenario under a policy and a seed.
@@ -161,10 +183,12 @@
     noise: Chance,
     workers: Vec<(Worker, u32)>,
     kinds: Vec<u32>,
+    cells: Vec<u32>,
     schedulers: Vec<Scheduler>,
     jobs: FxHashMap<u64, Asked>,
     flows: FxHashMap<u64, Flow>,
     attempts: FxHashMap<u64, Attempt>,
+    probes: FxHashMap<u64, Probing>,
     next_id: u64,
     /// What the list will tell once discovery is back.
     untold: Vec<WorkerEntry>,
@@ -185,6 +209,7 @@
     events: u64,
     attempts_sent: u64,
     crossed: u64,
+    probed: u64,
     fell: u64,
     held: (u64, f64),
 }
@@ -193,11 +218,20 @@
     fn new(scenario: &'a Scenario, kind: Kind, seed: u64) -> Result<Sim<'a>, String> {
         let mut fleet = Fleet::draw(scenario, seed);
         let mut schedulers = Vec::new();
+        let subscribed = !scenario.discovery.on_request;
         for number in 0..scenario.schedulers {
             let own = seed.wrapping_add(u64::from(number) * 7919);
             let policy = kind.make(scenario.settings(number), own, stream(own, Stream::Network))?;
             let zone = number % scenario.zones;
-            schedulers.push(Scheduler { policy, zone, version: 0, up: true, takes: true, life: 0 });
+            schedulers.push(Scheduler {
+                policy,
+                zone,
+                version: 0,
+                up: true,
+                takes: true,
+                life: 0,
+                subscribed,
+            });
         }
         let mut sim = Sim {
             scenario,
@@ -210,10 +244,12 @@
             noise: stream(seed, Stream::Reports),
             workers: std::mem::take(&mut fleet.workers),
             kinds: std::mem::take(&mut fleet.kinds),
+            cells: std::mem::take(&mut fleet.cells),
             schedulers,
             jobs: FxHashMap::default(),
             flows: FxHashMap::default(),
             attempts: FxHashMap::default(),
+            probes: FxHashMap::default(),
             next_id: 0,
             untold: Vec::new(),
             discovery_down: 0,
@@ -230,6 +266,7 @@
             events: 0,
             attempts_sent: 0,
             crossed: 0,
+            probed: 0,
             fell: 0,
             held: (0, 0.0),
         };
@@ -245,10 +282,13 @@
         let first = micros(self.scenario.discovery.first_after);
         let (remembered, full) = (Arc::new(remembered), Arc::new(entries));
         for scheduler in 0..self.schedulers.len() as u32 {
-            if first > 0 {
+            // Who must ask for the list hears at its start what it knows from before.
+            if first > 0 || self.scenario.discovery.on_request {
                 self.at(0, Ev::Told(scheduler, RosterKind::Remembered, Arc::clone(&remembered)));
             }
-            self.at(first, Ev::Told(scheduler, RosterKind::Full, Arc::clone(&full)));
+            if !self.scenario.discovery.on_request {
+                self.at(first, Ev::Told(scheduler, RosterKind::Full, Arc::clone(&full)));
+            }
         }
         for turn in turns {
             self.at(turn.at, Ev::Turn(*turn));
@@ -256,6 +296,10 @@
         if self.scenario.discovery.sizes > 0.0 {
             self.at(micros(self.scenario.discovery.sizes), Ev::Sizes);
         }
+        if self.scenario.reports.probe.is_some() {
+            let (every, all) = (micros(self.scenario.reports.refresh), self.workers.len() as u64);
+            (0..all).for_each(|at| self.at(every * at / all, Ev::Refresh(at as u32)));
+        }
         if let Some(arrival) = self.arrivals.next() {
             self.at(arrival.at, Ev::Arrive(arrival));
         }
@@ -286,7 +330,7 @@
             worker: WorkerId(at),
             zone: *zone,
             kind: self.kinds[at as usize],
-            cell: *zone,
+            cell: self.cells[at as usize],
             state: match worker.life {
                 worker::Life::Up => WorkerState::Ready,
                 worker::Life::Draining => WorkerState::Draining,
@@ -340,6 +384,34 @@
         self.tell_all(&entries);
     }
 
+    /// A scheduler asks for the list and its changes: it gets the whole one, and from then on what is new.
+    fn subscribe(&mut self, scheduler: u32) {
+        if !self.scenario.discovery.on_request {
+            return;
+        }
+        if self.discovery_down > 0 {
+            return self.at(self.now + NO_LIST, Ev::Told(scheduler, RosterKind::Failed, Arc::default()));
+        }
+        self.schedulers[scheduler as usize].subscribed = true;
+        let zone = self.schedulers[scheduler as usize].zone;
+        let way = self.way(zone, zone) + self.way(zone, zone);
+        let first = micros(self.scenario.discovery.first_after);
+        let list = Arc::new(self.list());
+        self.at((self.now + way).max(first), Ev::Told(scheduler, RosterKind::Full, list));
+    }
+
+    /// Discovery goes down: who watches it sees the call break.
+    fn watches_end(&mut self) {
+        if !self.scenario.discovery.on_request {
+            return;
+        }
+        for scheduler in 0..self.schedulers.len() as u32 {
+            if std::mem::replace(&mut self.schedulers[scheduler as usize].subscribed, false) {
+                self.at(self.now, Ev::Told(scheduler, RosterKind::Failed, Arc::default()));
+            }
+        }
+    }
+
     fn tell_all(&mut self, entries: &Arc<Vec<WorkerEntry>>) {
         let after = self.now + micros(self.scenario.discovery.delay);
         // The first list goes before any change.
@@ -395,10 +467,22 @@
                     self.tell(scheduler, Event::Timer(timer));
                 }
             }
+            Ev::Stop(attempt) => self.stop(attempt),
+            Ev::ProbeThere(id) => self.probe_there(id),
+            Ev::ProbeEnds(id, outcome, report) => {
+                let Some(of) = self.probes.remove(&id) else { return };
+                if self.schedulers[of.scheduler as usize].life == of.life {
+                    let worker = WorkerId(of.worker);
+                    self.tell(of.scheduler, Event::Probed { worker, outcome, report });
+                }
+            }
+            Ev::Refresh(worker) => self.refresh(worker),
             Ev::Contradict(old) => self.contradict(old),
             Ev::Sizes => self.renew_sizes(),
             Ev::Told(scheduler, kind, entries) => {
-                if !self.schedulers[scheduler as usize].up {
+                let of = &self.schedulers[scheduler as usize];
+                let unasked = matches!(kind, RosterKind::Remembered | RosterKind::Failed);
+                if !of.up || !(unasked || of.subscribed) {
                     return;
                 }
                 for entry in entries.iter() {
@@ -478,9 +562,8 @@
             }
             Final::Failed => self.end_job(job, End::Failed),
             Final::Refused(after) => {
-                let heeds = after.min(micros(self.scenario.clients.heed));
-                let spread: f64 = self.retries.random();
-                let wait = heeds + micros(0.01 + 0.2 * spread * heeds as f64 / SECOND as f64);
+                let clients = &self.scenario.clients;
+                let wait = clients.again.wait(after, clients.heed, self.retries.random());
                 if asked.retries == 0 || self.now + wait + MARGIN >= asked.gives_up {
                     return self.end_job(job, End::Refused);
                 }
@@ -552,7 +635,7 @@
             class: asked.of.class,
             tenant: 0,
             slots: Some(asked.of.slots),
-            memory: None,
+            memory: (asked.of.memory > 0.0).then_some(asked.of.memory),
             cost_hint: asked.of.hint,
             time_left: deadline.saturating_sub(self.now),
         };
@@ -592,9 +675,8 @@
                         self.at(self.now + after, Ev::Timer(scheduler, life, timer));
                     }
                 }
-                Action::Subscribe => {}
-                // The model's workers tell their load with every answer.
-                Action::Probe { .. } => {}
+                Action::Subscribe => self.subscribe(scheduler),
+                Action::Probe { worker } => self.probe(scheduler, worker.0),
             }
         }
         self.actions = actions;
@@ -627,6 +709,7 @@
             out: true,
             there: !moot,
             breaks: false,
+            stops: false,
         };
         self.attempts.insert(id, attempt);
         if moot {
@@ -670,6 +753,12 @@
         let (request, number, worker, sent_at) = (of.request, of.number, of.worker, of.sent_at);
         if !of.there {
             self.attempts.remove(&id);
+        } else if matches!(outcome, Ended::Cancelled | Ended::TimedOut) && self.scenario.settings.cancel_stops
+        {
+            let from = self.flows.get(&request).map(|flow| self.schedulers[flow.scheduler as usize].zone);
+            let to = self.workers[worker as usize].1;
+            let way = self.way(from.unwrap_or(to), to);
+            self.at(self.now + way, Ev::Stop(id));
         }
         let Some(flow) = self.flows.get_mut(&request) else { return };
         flow.out -= 1;
@@ -677,7 +766,8 @@
         if outcome == Ended::Served && !flow.answered {
             self.say(request, Final::Served);
         }
-        let heard = matches!(outcome, Ended::Served | Ended::Error | Ended::Full);
+        let with_answers = self.scenario.reports.probe.is_none();
+        let heard = with_answers && matches!(outcome, Ended::Served | Ended::Error | Ended::Full);
         let report = heard.then(|| {
             let refresh = micros(self.scenario.reports.refresh) + self.reports_late;
             let (noise, sigma) = (&mut self.noise, self.scenario.reports.noise);
@@ -725,20 +815,23 @@
 
     fn at_worker(&mut self, id: u64) {
         let Some(of) = self.attempts.get(&id) else { return };
+        if of.stops {
+            return self.left_worker(id);
+        }
         let (job, worker) = (of.job, of.worker);
         let Some(asked) = self.jobs.get(&job) else { return };
         let of_job = asked.of;
-        let zone = self.workers[worker as usize].1;
         let class = &self.scenario.classes[of_job.class as usize];
         let sent_at = of.sent_at;
         let effect = class.effect();
-        // A repeat of a keyed job is dropped in its zone, and hears what becomes of the first.
+        let group = self.group(worker, effect);
+        // A repeat of a keyed job is dropped in its group, and hears what becomes of the first.
         if let Effect::Keyed { window, .. } = effect
             && self.workers[worker as usize].0.takes()
             && let Some(repeat) =
-                self.jobs.get_mut(&job).and_then(|of| of.keys.repeat(id, zone, self.now, window))
+                self.jobs.get_mut(&job).and_then(|of| of.keys.repeat(id, group, self.now, window))
         {
-            self.referee.took(self.now, job, id, effect, zone, sent_at);
+            self.referee.took(self.now, job, id, effect, group, sent_at);
             if repeat == Repeat::Done {
                 self.back(id, Ended::Served);
                 self.left_worker(id);
@@ -751,6 +844,13 @@
                 self.back(id, Ended::Reset);
                 return self.left_worker(id);
             }
+            Cut::Fails => {
+                // Nobody is told that it never ran: whoever sends it on must reckon with it.
+                self.referee.took(self.now, job, id, effect, group, sent_at);
+                self.referee.ran(self.now, job, effect);
+                self.back(id, Ended::Error);
+                return self.left_worker(id);
+            }
             Cut::After => {
                 self.back(id, Ended::Reset);
                 if let Some(of) = self.attempts.get_mut(&id) {
@@ -763,11 +863,11 @@
         match self.workers[worker as usize].0.offer(self.now, offered, &mut effects) {
             Offer::Taken => {
                 self.held.0 += 1;
-                self.referee.took(self.now, job, id, effect, zone, sent_at);
+                self.referee.took(self.now, job, id, effect, group, sent_at);
                 if let Some(asked) =
                     self.jobs.get_mut(&job).filter(|_| matches!(effect, Effect::Keyed { .. }))
                 {
-                    asked.keys.took(id, zone, self.now);
+                    asked.keys.took(id, group, self.now);
                 }
                 self.effects(worker, effects);
             }
@@ -786,8 +886,39 @@
         }
     }
 
+    /// The group in which a worker drops repeats of a job's key.
+    fn group(&self, worker: u32, effect: Effect) -> u32 {
+        let Effect::Keyed { scope, .. } = effect else { return 0 };
+        group(scope, self.workers[worker as usize].1, self.cells[worker as usize])
+    }
+
+    /// An attempt that was given up stops at its worker, and its key is forgotten with it.
+    fn stop(&mut self, id: u64) {
+        let Some(of) = self.attempts.get_mut(&id).filter(|of| of.there) else { return };
+        let worker = of.worker;
+        let mut effects = Vec::new();
+        if !self.workers[worker as usize].0.cancel(self.now, id, &mut effects) {
+            // It is still on its way, or a repeat that was dropped.
+            of.stops = true;
+            return;
+        }
+        self.held.0 -= 1;
+        if let Some(asked) = self.jobs.get_mut(&of.job) {
+            asked.keys.handed_back(id);
+        }
+        self.tell_dropped(id, Ended::Error);
+        self.left_worker(id);
+        self.effects(worker, effects);
+    }
+
     fn effects(&mut self, worker: u32, effects: Vec<worker::Effect>) {
         for effect in effects {
+            match effect {
+                worker::Effect::Done { attempt: id, .. } => self.probe_back(id, Ended::Served, 0),
+                worker::Effect::Lost(id) => self.probe_back(id, Ended::Reset, 0),
+                worker::Effect::HandedBack(id) => self.probe_back(id, Ended::Full, 0),
+                _ => {}
+            }
             match effect {
                 worker::Effect::Started(id) => {
                     let Some(of) = self.attempts.get(&id) else { continue };
@@ -871,6 +1002,78 @@
         }
     }
 
+    // ---- Probes --------------------------------------------------------------------------------
+
+    /// A scheduler asks a worker for its load; it hears once what came of it.
+    fn probe(&mut self, scheduler: u32, worker: u32) {
+        self.next_id += 1;
+        let (id, life) = (self.next_id, self.schedulers[scheduler as usize].life);
+        self.probes.insert(id, Probing { scheduler, life, worker });
+        let known = self.scenario.reports.probe.filter(|_| (worker as usize) < self.workers.len());
+        let Some(of) = known else { return self.at(self.now, Ev::ProbeEnds(id, Ended::Moot, None)) };
+        self.probed += 1;
+        let (from, to) = (self.schedulers[scheduler as usize].zone, self.workers[worker as usize].1);
+        let way = self.way(from, to) + self.connection(scheduler, worker);
+        self.at(self.now + way, Ev::ProbeThere(id));
+        self.at(self.now + micros(of.timeout), Ev::ProbeEnds(id, Ended::TimedOut, None));
+    }
+
+    fn probe_there(&mut self, id: u64) {
+        let Some(&Probing { worker, .. }) = self.probes.get(&id) else { return };
+        let Some(probe) = self.scenario.reports.probe else { return };
+        let cut = self.wires[worker as usize].meets(self.network.random());
+        let of = &mut self.workers[worker as usize].0;
+        match (of.life, cut) {
+            // Nothing answers: its scheduler waits until its time is over.
+            (worker::Life::Vanished, _) => return,
+            (worker::Life::Dead, _) => return self.probe_back(id, Ended::ConnectFailed, 0),
+            _ if of.refusing => return self.probe_back(id, Ended::ConnectFailed, 0),
+            (worker::Life::Draining, _) => return self.probe_back(id, Ended::Full, 0),
+            (_, Cut::Whole) => {}
+            (_, Cut::Fails) => return self.probe_back(id, Ended::Error, 0),
+            (_, Cut::Before | Cut::After | Cut::Garbage) => return self.probe_back(id, Ended::Reset, 0),
+        }
+        if !probe.deep {
+            let took = micros(probe.work / of.build.speed);
+            of.charge(self.now, probe.work);
+            self.probe_back(id, Ended::Served, took);
+            return self.effects(worker, Vec::new());
+        }
+        let offered = Offered::probe(id, probe.work);
+        let mut effects = Vec::new();
+        match of.offer(self.now, offered, &mut effects) {
+            Offer::Taken => {
+                self.held.0 += 1;
+                self.effects(worker, effects);
+            }
+            Offer::Full => self.probe_back(id, Ended::Full, 0),
+            Offer::Dead | Offer::Vanished => self.probe_back(id, Ended::ConnectFailed, 0),
+        }
+    }
+
+    /// Word of a probe goes back, if its scheduler still waits for it; other ids are none of a probe.
+    fn probe_back(&mut self, id: u64, outcome: Ended, after: Micros) {
+        let Some(&Probing { scheduler, worker, .. }) = self.probes.get(&id) else { return };
+        let Some(probe) = self.scenario.reports.probe else { return };
+        let of = &mut self.workers[worker as usize];
+        let served = outcome == Ended::Served;
+        let report = of.0.probed(self.now, micros(probe.late) + self.reports_late).filter(|_| served);
+        let (from, to) = (of.1, self.schedulers[scheduler as usize].zone);
+        let way = self.way(from, to) + after;
+        self.at(self.now + way, Ev::ProbeEnds(id, outcome, report));
+    }
+
+    fn refresh(&mut self, worker: u32) {
+        let reports = &self.scenario.reports;
+        let (every, now) = (micros(reports.refresh), self.now);
+        let (noise, sigma) = (&mut self.noise, reports.noise);
+        let draw = || Normal::new(0.0, sigma).map_or(0.0, |normal| normal.sample(noise));
+        self.workers[worker as usize].0.refresh(now, every, draw);
+        if now <= micros(self.scenario.seconds) + 60 * SECOND {
+            self.at(now + every, Ev::Refresh(worker));
+        }
+    }
+
     // ---- Faults --------------------------------------------------------------------------------
 
     fn fault(&mut self, turn: Turn) {
@@ -885,6 +1088,9 @@
                 return;
             }
             Trouble::DiscoveryDown | Trouble::DiscoveryMoves => {
+                if begins {
+                    self.watches_end();
+                }
                 self.discovery_down = if begins { self.discovery_down + 1 } else { self.discovery_down - 1 };
                 if self.discovery_down == 0 && what == Trouble::DiscoveryMoves {
                     self.untold.clear();
@@ -956,7 +1162,7 @@
     /// to end before, they should all have been answered, and it breaks a rule that they are not.
     fn scheduler_dies(&mut self, scheduler: u32, told: bool) {
         let of = &mut self.schedulers[scheduler as usize];
-        (of.up, of.life) = (false, of.life + 1);
+        (of.up, of.life, of.subscribed) = (false, of.life + 1, !self.scenario.discovery.on_request);
         let mut flows: Vec<u64> =
             self.flows.iter().filter(|(_, flow)| flow.scheduler == scheduler).map(|(id, _)| *id).collect();
         // In the order in which they came, as the map's own is not the same in each run.
@@ -997,7 +1203,8 @@
         }
         let list = Arc::new(self.list());
         let after = if self.discovery_down > 0 { micros(self.scenario.discovery.delay) } else { 0 };
-        self.at(self.now + after, Ev::Told(scheduler, RosterKind::Full, list));
+        let kind = if self.scenario.discovery.on_request { RosterKind::Remembered } else { RosterKind::Full };
+        self.at(self.now + after, Ev::Told(scheduler, kind, list));
     }
 
     fn outcome(self, kind: Kind, seed: u64) -> Outcome {
@@ -1011,6 +1218,7 @@
             kinds: &self.kinds,
             attempts: self.attempts_sent,
             crossed: self.crossed,
+            probes: self.probed,
             fell: self.fell,
             held: self.held.1,
             verdict: self.referee.verdict(),
@@ -1019,3 +1227,98 @@
         .outcome()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Mutex;
+
+    use copperspread_decisions::Decide;
+
+    use super::*;
+
+    type Heard = Arc<Mutex<Vec<(Ended, Option<f64>, Micros)>>>;
+
+    /// Asks for one worker's load at 5 s, and keeps what it hears of it, and when.
+    struct Prober(WorkerId, Heard);
+
+    impl Policy for Prober {}
+
+    impl Decide for Prober {
+        fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
+            match event {
+                Event::Roster(_) if now == EPOCH => {
+                    actions.push(Action::Wake { after: 5 * SECOND, timer: Timer::Probe });
+                }
+                Event::Timer(Timer::Probe) => actions.push(Action::Probe { worker: self.0 }),
+                Event::Probed { outcome, report, .. } => {
+                    let free = report.and_then(|of| of.free_slots);
+                    self.1.lock().expect("kept").push((outcome, free, now - EPOCH - 5 * SECOND));
+                }
+                // The only worker gets every job.
+                Event::Job(job) => {
+                    let (request, worker) = (job.request, WorkerId(0));
+                    actions.push(Action::Send { request, worker, estimate: 0 });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn probed(reports: &str, job: &str, fault: &str, worker: u32) -> Vec<(Ended, Option<f64>, Micros)> {
+        let text = format!(
+            "name = 'one'\nabout = 'one worker'\nseconds = 9.0\nschedulers = 1\n[clients]\nrate = 1e-9\n{job}\n\
+             [network]\nnear = 0.001\n[reports]\nnoise = 0.0\n{reports}\n[[workers]]\nkind = 'w'\ncount = 1\n\
+             cores = 1.0\nslots = 1.0\nspeed = [1.0, 1.0]\n[[classes]]\nname = 'c'\nshare = 1.0\nwork = 1.0\n\
+             aim = 30.0\ndeadline = 30.0\nworth = 1.0\nrepeat = 'safe'\n{fault}"
+        );
+        let scenario = Scenario::read(&text).expect("a scenario");
+        let mut sim = Sim::new(&scenario, Kind::Random, 1).expect("it plays");
+        let heard = Heard::default();
+        sim.schedulers[0].policy = Box::new(Prober(WorkerId(worker), Arc::clone(&heard)));
+        while let Some(Reverse(Timed(at, _, event))) = sim.heap.pop() {
+            sim.hold(at);
+            sim.happen(event);
+        }
+        assert!(sim.probes.is_empty());
+        let heard = heard.lock().expect("kept");
+        heard.clone()
+    }
+
+    // Whatever goes wrong, a probe is answered once; and a deep one waits its turn behind a job.
+    #[test]
+    fn a_probe_is_heard_of_once_whatever_goes_wrong() {
+        let of = |deep| format!("probe = {{ work = 0.004, deep = {deep}, timeout = 0.5, late = 0.0 }}");
+        let fault = |what: &str, at: f64| {
+            format!("[[faults]]\nat = {at:?}\nlasts = 90.0\nshare = 1.0\nwhat = {what}\n")
+        };
+        let job = |at: f64, work: f64| format!("trace = [{{ at = {at:?}, class = 0, work = {work:?} }}]");
+        let all = [
+            // What is asked, the job that runs, what goes wrong, and the outcome, the free slots, and how long
+            // it took at least and at most, in milliseconds.
+            (of(false), job(0.5, 0.1), String::new(), Ended::Served, Some(1.0), [5, 9]),
+            (of(true), job(0.5, 0.1), String::new(), Ended::Served, Some(1.0), [5, 9]),
+            (of(false), job(1.0, 8.0), String::new(), Ended::Served, Some(0.0), [5, 9]),
+            (of(true), job(4.5, 0.8), String::new(), Ended::Served, Some(0.0), [290, 330]),
+            (of(true), job(1.0, 8.0), String::new(), Ended::TimedOut, None, [500, 500]),
+            (of(true), job(4.5, 4.0), fault("'crash'", 5.1), Ended::Reset, None, [100, 110]),
+            (of(true), job(4.5, 4.0), fault("'drain'", 5.1), Ended::Full, None, [100, 110]),
+            (of(true), job(4.5, 4.0), fault("'vanish'", 5.1), Ended::TimedOut, None, [500, 500]),
+            (of(false), job(0.5, 0.1), fault("'crash'", 1.0), Ended::ConnectFailed, None, [1, 5]),
+            (of(false), job(0.5, 0.1), fault("'refusing'", 1.0), Ended::ConnectFailed, None, [1, 5]),
+            (of(false), job(0.5, 0.1), fault("'vanish'", 1.0), Ended::TimedOut, None, [500, 500]),
+            (of(true), job(0.5, 0.1), fault("{ failing = 1.0 }", 1.0), Ended::Error, None, [1, 5]),
+            (of(true), job(0.5, 0.1), fault("{ garbled = 1.0 }", 1.0), Ended::Reset, None, [1, 5]),
+            // Where workers are not to be probed.
+            (String::new(), job(0.5, 0.1), String::new(), Ended::Moot, None, [0, 0]),
+        ];
+        for (reports, job, fault, outcome, free, [least, most]) in all {
+            let heard = probed(&reports, &job, &fault, 0);
+            let case = format!("{reports} {job} {fault}: {heard:?}");
+            assert_eq!(heard.len(), 1, "{case}");
+            assert_eq!((heard[0].0, heard[0].1), (outcome, free), "{case}");
+            assert!((least * 1_000..=most * 1_000).contains(&heard[0].2), "{case}");
+        }
+        // A worker that there is not.
+        assert_eq!(probed(&of(true), "", "", 7), [(Ended::Moot, None, 0)]);
+    }
+}
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -186,7 +186,7 @@
         assert!(scenario.clients.rate < scenario.capacity(), "{}: more than the fleet can do", scenario.name);
         names.push(scenario.name);
     }
-    assert_eq!(names.len(), 14);
+    assert_eq!(names.len(), 16);
     let good = std::fs::read_to_string(format!("{folder}/zone-lost.toml")).expect("a file");
     for (from, to, said) in [
         ("seconds = 90.0", "seconds = 0.0", "seconds: 0 is not over 0"),
@@ -459,12 +459,12 @@
         rate in 5.0..70.0_f64,
         at in 1.0..30.0_f64,
         share in 0.1..1.0_f64,
-        which in 0_usize..13,
-        policy in 0_usize..6,
+        which in 0_usize..14,
+        policy in 0_usize..7,
     ) {
         let what = ["'crash'", "'vanish'", "'drain'", "'stuck'", "'refusing'", "{ slow = 6.0 }", "{ silent = 1 }",
             "{ resetting = 0.5 }", "{ garbled = 0.5 }", "{ late_news = 1.5 }", "'doubled_news'", "'scheduler_crash'",
-            "'discovery_contradicts'"][which];
+            "'discovery_contradicts'", "{ failing = 0.5 }"][which];
         let fault = format!("[[faults]]\nat = {at:?}\nlasts = 6.0\nshare = {share:?}\nwhat = {what}\n");
         let scenario = harsh(rate, &fault);
         let outcome = play(&scenario, Kind::COMPARED[policy], seed).expect("it plays");
