--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -5,9 +5,11 @@
 
 use foca::{Foca, Message, NoCustomBroadcast, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
 use rand::SeedableRng;
+use rand::seq::IteratorRandom;
 use rand_pcg::Pcg64Mcg;
 
 use crate::seal::{Key, MOST_BODY};
+use crate::state::State;
 use crate::timers::Timers;
 use crate::{Member, Micros, SECOND};
 
@@ -24,7 +26,8 @@
 const ASKED: usize = 4;
 /// How often members that pass for down are asked, so that a healed partition becomes one again.
 const ASK_DOWN: Micros = 5 * SECOND;
-/// How often a random member is asked for those that it knows.
+/// How often a random member is asked for those that it knows, by a packet and, where one could not hold them,
+/// by an exchange of whole states.
 const ASK_STATE: Micros = 30 * SECOND;
 /// How long a member that is down is remembered, so that old news does not bring it back.
 const REMEMBER_DOWN: Duration = Duration::from_secs(24 * 3600);
@@ -70,6 +73,8 @@
 pub enum Input<'a> {
     /// A packet, from wherever.
     Packet(&'a [u8]),
+    /// What a peer knows, which came over a stream.
+    State(&'a State),
     /// Time went on, to [`Cluster::next_due`] or past it. The driver hands in all packets that wait
     /// before it.
     Due,
@@ -85,6 +90,9 @@
         /// The whole packet.
         packet: Vec<u8>,
     },
+    /// Whole states are to be exchanged with the member at this address, over a stream: it is sent
+    /// [`Cluster::state`], and what it answers comes in as [`Input::State`].
+    Exchange(SocketAddr),
     /// A member is there.
     Up(Member),
     /// A member has died, or has left.
@@ -112,6 +120,7 @@
 enum Alarm {
     Protocol(Timer<Member>),
     Seeds,
+    Exchange,
 }
 
 type Protocol = Foca<Member, PostcardCodec, Pcg64Mcg, NoCustomBroadcast>;
@@ -122,12 +131,16 @@
     settings: Settings,
     key: Key,
     timers: Timers<Alarm>,
+    /// Chance of its own, apart from the protocol's.
+    chance: Pcg64Mcg,
     /// How much this member doubts itself, in steps from 0.
     doubt: u32,
     /// When it last heard of the time.
     heard: Micros,
     /// When the last packet with the cluster's key came.
     last_packet: Micros,
+    /// Who sent the packet that is being taken.
+    sender: Option<SocketAddr>,
     /// Others have answered it as it is now.
     joined: bool,
     /// Pauses that were noticed.
@@ -144,6 +157,7 @@
     /// When the last packet of the cluster came, and after how long without one it is alone.
     last_packet: Micros,
     alone: Micros,
+    sender: &'a mut Option<SocketAddr>,
     joined: &'a mut bool,
 }
 
@@ -167,6 +181,7 @@
                 return;
             }
             Notification::DataReceived(header) => {
+                *self.sender = Some(header.src.address);
                 if matches!(header.message, Message::Ack(_)) {
                     *self.doubt = self.doubt.saturating_sub(1);
                 }
@@ -214,18 +229,25 @@
         if !(settings.suspicion > 0.0 && settings.suspicion <= 1_000.0) {
             return Err(SettingsError("the suspicion is not above 0 and up to 1000 intervals"));
         }
+        if !own.fits() {
+            return Err(SettingsError("a name, zone or region of more than 64 bytes"));
+        }
         let rng = Pcg64Mcg::seed_from_u64(seed);
+        let chance = Pcg64Mcg::seed_from_u64(!seed);
         let foca = Foca::new(own, protocol(&settings, 1), rng, PostcardCodec);
         let mut timers = Timers::new();
         timers.add(0, Alarm::Seeds);
+        timers.add(ASK_STATE, Alarm::Exchange);
         Ok(Cluster {
             foca,
             settings,
             key,
             timers,
+            chance,
             doubt: 0,
             heard: 0,
             last_packet: 0,
+            sender: None,
             joined: false,
             pauses: 0,
         })
@@ -242,7 +264,8 @@
         effects: &mut Vec<Effect>,
     ) -> Result<(), Rejected> {
         self.notice_pause(now);
-        let before = self.foca.num_members();
+        let (before, joined) = (self.foca.num_members(), self.joined);
+        self.sender = None;
         let done = match input {
             Input::Packet(packet) => {
                 let body = self.key.open(packet)?;
@@ -256,11 +279,20 @@
                     _ => Ok(()),
                 }
             }
+            Input::State(state) => {
+                self.take(now, state, effects);
+                Ok(())
+            }
             Input::Due => {
                 self.due(now, effects);
                 Ok(())
             }
         };
+        if self.joined && !joined {
+            // A packet names some twenty members; a newcomer wants them all. From the one that surely is there:
+            // after a breakdown others of whom it tells may not be.
+            effects.extend(self.sender.map(Effect::Exchange));
+        }
         if self.foca.num_members() != before {
             // Bounds and times follow the number of members; none that may change is refused.
             let _ = self.foca.set_config(protocol(&self.settings, self.foca.num_members() + 1));
@@ -282,9 +314,9 @@
 
     /// The protocol, and what collects what it wants.
     fn parts<'a>(&'a mut self, now: Micros, effects: &'a mut Vec<Effect>) -> (&'a mut Protocol, Collect<'a>) {
-        let Cluster { foca, settings, key, timers, doubt, last_packet, joined, .. } = self;
+        let Cluster { foca, settings, key, timers, doubt, last_packet, sender, joined, .. } = self;
         let (last_packet, alone) = (*last_packet, settings.probe_interval);
-        (foca, Collect { now, key, timers, doubt, effects, last_packet, alone, joined })
+        (foca, Collect { now, key, timers, doubt, effects, last_packet, alone, sender, joined })
     }
 
     fn due(&mut self, now: Micros, effects: &mut Vec<Effect>) {
@@ -299,6 +331,14 @@
                     self.ask_seeds(now, effects);
                     self.timers.add(now.saturating_add(self.settings.probe_interval), Alarm::Seeds);
                 }
+                Alarm::Exchange => {
+                    // Where a packet holds them all, the protocol's own asking is enough.
+                    if self.state().size() > MOST_BODY / 2 {
+                        let whom = self.foca.iter_members().choose(&mut self.chance);
+                        effects.extend(whom.map(|member| Effect::Exchange(member.id().address)));
+                    }
+                    self.timers.add(now.saturating_add(ASK_STATE), Alarm::Exchange);
+                }
             }
         }
     }
@@ -325,6 +365,20 @@
         }
     }
 
+    /// Takes what a peer knows.
+    fn take(&mut self, now: Micros, state: &State, effects: &mut Vec<Effect>) {
+        self.last_packet = now;
+        let news = state.news_for(self.foca.identity(), self.foca.iter_membership_state());
+        let (foca, collect) = self.parts(now, effects);
+        // Its errors are those of the codec, which writes to memory.
+        let _ = foca.apply_many(news.into_iter(), true, collect);
+    }
+
+    /// All that this member knows, for an exchange of whole states.
+    pub fn state(&self) -> State {
+        State::of(self.foca.identity(), self.foca.iter_membership_state())
+    }
+
     /// Leaves in good order: the others need not find out.
     pub fn leave(&mut self, now: Micros, effects: &mut Vec<Effect>) {
         let (foca, collect) = self.parts(now, effects);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,7 +9,8 @@
 //!    before death, incarnations that refute, news carried on probes with a bounded number of sends.
 //! 2. This crate owns the timers (`timers.rs`), and with them what Lifeguard adds: a member whose own probes
 //!    fail widens its time-outs, and one that was paused takes what waits for it before it judges others.
-//! 3. Every packet carries a version and a tag under the cluster's key (`seal.rs`): without it nobody
+//! 3. What no packet holds, the list of all members, is exchanged as a [`State`] over a stream (`state.rs`).
+//! 4. Every packet and state carries a version and a tag under the cluster's key (`seal.rs`): without it nobody
 //!    joins, and nobody is evicted.
 //!
 //! It never says who leads, stores nothing, and knows of no zone's health: that is for crates above.
@@ -18,11 +19,13 @@
 mod cluster;
 mod member;
 mod seal;
+mod state;
 mod timers;
 
 pub use cluster::{Cluster, Effect, Input, Rejected, Settings, SettingsError};
 pub use member::Member;
-pub use seal::{Key, KeyError, MOST_PACKET};
+pub use seal::{Key, KeyError, MOST_PACKET, MOST_STATE};
+pub use state::State;
 
 /// An instant or a span in microseconds; instants count from any moment that is the same for all calls.
 pub type Micros = u64;
--- a/crates/cluster/src/member.rs
+++ b/crates/cluster/src/member.rs
@@ -4,6 +4,9 @@
 use foca::Identity;
 use serde::{Deserialize, Serialize};
 
+/// Longest name, zone or region, in bytes: a packet names up to three members in its head alone.
+const MOST_NAME: usize = 64;
+
 /// A scheduler as its peers know it. Of two with one address the later generation stands.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -22,6 +25,11 @@
 }
 
 impl Member {
+    /// Whether its texts are short enough for a packet.
+    pub(crate) fn fits(&self) -> bool {
+        [&self.name, &self.zone, &self.region].iter().all(|text| text.len() <= MOST_NAME)
+    }
+
     /// A stand-in for whoever listens at an address; any real member there replaces it.
     pub(crate) fn unknown(address: SocketAddr) -> Member {
         let nameless = String::new();
