Start membership where [cluster] is set, and show it at /-/cluster

A scheduler could not be told of its peers, and nobody could see whom it knows.

[cluster] in the configuration, off unless bind is set: copperspread check opens the key's file and names what is wrong by file, line and key, without the key. serve starts the driver, leaves the cluster on SIGTERM before it ends, and says on SIGHUP that the part changes only with a new start. The node takes pages from the program as closures and does not know the driver.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,23 +1,33 @@
 //! Each value against the others and against what the process is allowed. Finds all problems, not
 //! just the first, and says what would be right.
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
 
 use http::uri::Authority;
 
 use crate::types::*;
 use crate::units::{Size, Span};
 
+/// Reads a cluster's key from its file and says what is wrong with it, without its bytes.
+pub type CheckKey = fn(&Path) -> Result<(), String>;
+
 /// What stands outside the configuration and bounds it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Surroundings {
     /// How many descriptors the process may hold; absent, that is not known.
     pub descriptors: Option<u64>,
+    /// Checks the file with a cluster's key; absent, it is not looked at.
+    pub key_file: Option<CheckKey>,
 }
 
 const LEAST_MEMORY: Size = Size(16_000_000);
 const LEAST_DESCRIPTORS: u32 = 64;
 const LEAST_ROTATION: Size = Size(65_536);
 const LONGEST_DEADLINE: Span = Span(86_400_000_000);
+const SHORTEST_PROBE: Span = Span(10_000);
+const LONGEST_PROBE: Span = Span(60_000_000);
+const LONGEST_NAME: usize = 64;
 
 /// All that is wrong: by key, in words.
 pub fn check(config: &Config, around: &Surroundings) -> Vec<(String, String)> {
@@ -25,6 +35,7 @@
     limits(config, around, &mut found);
     zones_and_workers(config, &mut found);
     classes(config, &mut found);
+    cluster(config, around, &mut found);
     let cold = &config.cold;
     found.unless(cold.from > 0.0 && cold.from <= 1.0, "cold.from", || {
         format!("{} is not over 0 and at most 1", cold.from)
@@ -169,6 +180,68 @@
     }
 }
 
+fn cluster(config: &Config, around: &Surroundings, found: &mut Found) {
+    let cluster = &config.cluster;
+    let Some(bind) = cluster.bind else {
+        // Guards against a scheduler that is thought to be a member.
+        for (key, set) in [
+            ("cluster.advertise", cluster.advertise.is_some()),
+            ("cluster.seeds", !cluster.seeds.is_empty()),
+            ("cluster.key_file", cluster.key_file.is_some()),
+        ] {
+            found.unless(!set, key, || "has no meaning unless cluster.bind is set".into());
+        }
+        return;
+    };
+    found.unless(!bind.ip().is_unspecified() || cluster.advertise.is_some(), "cluster.bind", || {
+        format!("{bind} is no number that peers can reach; set cluster.advertise to one")
+    });
+    let reached = |address: &SocketAddr| !address.ip().is_unspecified() && address.port() != 0;
+    let of_kind = |address: &SocketAddr| address.is_ipv4() == bind.is_ipv4();
+    let mut address = |key: &str, address: &SocketAddr| {
+        found.unless(reached(address), key, || format!("{address} is no number and port to send to"));
+        found.unless(of_kind(address), key, || format!("{address} and cluster.bind are IPv4 and IPv6"));
+    };
+    if let Some(advertise) = &cluster.advertise {
+        address("cluster.advertise", advertise);
+    }
+    for (number, seed) in cluster.seeds.iter().enumerate() {
+        address(&format!("cluster.seeds[{number}]"), seed);
+    }
+    match (&cluster.key_file, around.key_file) {
+        (None, _) => found.unless(false, "cluster.key_file", || {
+            "is missing; a cluster needs a key, a file of at least 16 bytes".into()
+        }),
+        (Some(path), Some(read)) => {
+            let why = read(path).err();
+            found.unless(why.is_none(), "cluster.key_file", || why.unwrap_or_default());
+        }
+        (Some(_), None) => {}
+    }
+    let (interval, timeout) = (cluster.probe_interval, cluster.probe_timeout);
+    found.unless((SHORTEST_PROBE..=LONGEST_PROBE).contains(&interval), "cluster.probe_interval", || {
+        format!("{interval} is not between {SHORTEST_PROBE} and {LONGEST_PROBE}")
+    });
+    found.unless(timeout.0 > 0 && timeout < interval, "cluster.probe_timeout", || {
+        format!("{timeout} is not over 0 and under the probe_interval of {interval}")
+    });
+    found.unless((1..=16).contains(&cluster.indirect), "cluster.indirect", || {
+        format!("{} is not between 1 and 16", cluster.indirect)
+    });
+    found.unless(cluster.suspicion > 0.0 && cluster.suspicion <= 1_000.0, "cluster.suspicion", || {
+        format!("{} is not over 0 and at most 1000", cluster.suspicion)
+    });
+    // A packet has no room for more.
+    for (key, text) in
+        [("name", &config.name), ("zones.here", &config.zones.here), ("cluster.region", &cluster.region)]
+    {
+        found.unless(text.len() <= LONGEST_NAME, key, || {
+            format!("{} bytes are too many for a member of a cluster; at most {LONGEST_NAME}", text.len())
+        });
+    }
+    found.unless(!config.name.is_empty(), "name", || "is empty; a member of a cluster needs one".into());
+}
+
 fn distinct(names: &[String]) -> bool {
     names.iter().collect::<BTreeSet<_>>().len() == names.len()
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,7 +9,8 @@
 //!                            start.rs: onto the settings that all formats share
 //! ```
 //!
-//! Nothing here opens a socket, and only [`read`] opens a file. `describe.rs` makes the schema, the
+//! Nothing here opens a socket, and only [`read`] opens a file (a cluster's key is read by what
+//! [`Surroundings`] names). `describe.rs` makes the schema, the
 //! commented default and docs/configuration.md from the types.
 mod check;
 mod describe;
@@ -18,7 +19,7 @@
 mod types;
 mod units;
 
-pub use check::Surroundings;
+pub use check::{CheckKey, Surroundings};
 pub use describe::{commented_default, page, schema};
 pub use layers::{Effective, Problem, Problems, read, read_text};
 pub use types::*;
--- a/crates/config/src/types.rs
+++ b/crates/config/src/types.rs
@@ -32,6 +32,8 @@
     pub attempts: Attempts,
     /// How workers that have just started are spared.
     pub cold: Cold,
+    /// Membership among schedulers; off unless `bind` is set. See docs/cluster.md.
+    pub cluster: Cluster,
     /// What the process may use.
     pub limits: Limits,
     /// The log, on standard error.
@@ -63,6 +65,7 @@
             zones: Zones::default(),
             attempts: Attempts::default(),
             cold: Cold::default(),
+            cluster: Cluster::default(),
             limits: Limits::default(),
             log: Log::default(),
             records: Records::default(),
@@ -102,6 +105,19 @@
     text.parse().map_err(wrong).map_err(serde::de::Error::custom)
 }
 
+fn number<E: serde::de::Error>(text: &str) -> Result<SocketAddr, E> {
+    let wrong = |_| format!("{text:?} is no number and port, such as \"10.0.0.1:7946\"");
+    text.parse().map_err(wrong).map_err(E::custom)
+}
+
+fn maybe_number<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Option<SocketAddr>, D::Error> {
+    number(&String::deserialize(from)?).map(Some)
+}
+
+fn numbers<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<SocketAddr>, D::Error> {
+    Vec::<String>::deserialize(from)?.iter().map(|text| number(text)).collect()
+}
+
 impl Default for HttpFront {
     fn default() -> HttpFront {
         HttpFront { listen: ([127, 0, 0, 1], 8081).into(), max_retry_after: Span(2 * SECOND) }
@@ -260,6 +276,55 @@
     }
 }
 
+/// Membership among schedulers: who is there, who is gone. Off unless `bind` is set. All of it changes only with
+/// a new start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Cluster {
+    /// Number and port for peers, UDP and TCP; absent, there is no membership.
+    #[serde(deserialize_with = "maybe_number", skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>")]
+    pub bind: Option<SocketAddr>,
+    /// Number and port at which peers reach it; absent, `bind`.
+    #[serde(deserialize_with = "maybe_number", skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>")]
+    pub advertise: Option<SocketAddr>,
+    /// Numbers and ports of some schedulers, perhaps this one, which are asked until one of them answers.
+    #[serde(deserialize_with = "numbers")]
+    #[schemars(with = "Vec<String>")]
+    pub seeds: Vec<SocketAddr>,
+    /// The file with the key that all members share, of at least 16 bytes; a line's end after it does not count.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key_file: Option<PathBuf>,
+    /// This scheduler's region, told to its peers.
+    pub region: String,
+    /// Between two probes; each is of one member, all in turn.
+    pub probe_interval: Span,
+    /// A probed member has answered by then, or others are asked to probe it; under `probe_interval`.
+    pub probe_timeout: Span,
+    /// Through how many others a member is probed that did not answer; 1 to 16.
+    pub indirect: u32,
+    /// A suspected member is dead after so many intervals times the logarithm (base 10) of the members, which
+    /// counts as 1 at least.
+    pub suspicion: f64,
+}
+
+impl Default for Cluster {
+    fn default() -> Cluster {
+        Cluster {
+            bind: None,
+            advertise: None,
+            seeds: Vec::new(),
+            key_file: None,
+            region: String::new(),
+            probe_interval: Span(SECOND),
+            probe_timeout: Span(300_000),
+            indirect: 3,
+            suspicion: 5.0,
+        }
+    }
+}
+
 /// What the process may use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -5,9 +5,15 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-const AROUND: Surroundings = Surroundings { descriptors: Some(4096) };
+const AROUND: Surroundings = Surroundings { descriptors: Some(4096), key_file: Some(key_file) };
+const CLUSTER: &str = include_str!("../../../deploy/cluster.toml");
 const EXAMPLE: &str = include_str!("../../../deploy/standalone.toml");
 
+/// Stands in for the program's own, which opens the file.
+fn key_file(path: &std::path::Path) -> Result<(), String> {
+    if path.ends_with("short") { Err("a cluster key of 3 bytes; 16 at least".into()) } else { Ok(()) }
+}
+
 fn read(text: &str) -> Result<Effective, String> {
     read_text(Some(("f.toml", text)), &[], &AROUND).map_err(|problems| problems.to_string())
 }
@@ -15,6 +21,7 @@
 #[test]
 fn what_is_wrong_is_told_with_its_place_and_what_would_be_right() {
     let class = "[[classes]]\nname = 'a'\n";
+    let cluster = "[cluster]\nbind = '10.0.0.1:7946'\nkey_file = 'k'\n";
     let cases: &[(&str, &[&str])] = &[
         ("[front\n", &["f.toml:1:"]),
         ("", &["f.toml: sets nothing"]),
@@ -59,6 +66,35 @@
         (&format!("{class}repeat = 'keyed'"), &["classes[0].key_window: is missing or 0"]),
         (&format!("{class}key_window = '1s'"), &["f.toml:3:14: classes[0].key_window: has no meaning"]),
         (&format!("{class}worker_kind = 'x'"), &["classes[0].worker_kind: no worker is of the kind \"x\""]),
+        ("[cluster]\nbind = 'here'", &["f.toml:2:8: cluster.bind: \"here\" is no number and port"]),
+        ("[cluster]\nbind = '10.0.0.1:7946'", &["f.toml:1:1: cluster.key_file: is missing"]),
+        ("[cluster]\nkey_file = 'k'", &["f.toml:2:12: cluster.key_file: has no meaning unless cluster.bind"]),
+        (
+            "[cluster]\nbind = '0.0.0.0:7946'\nkey_file = 'k'",
+            &["f.toml:2:8: cluster.bind: 0.0.0.0:7946", "set cluster.advertise"],
+        ),
+        (
+            "[cluster]\nbind = '[::1]:1'\nkey_file = 'short'\nseeds = ['10.0.0.2:0']",
+            &[
+                "f.toml:3:12: cluster.key_file: a cluster key of 3 bytes; 16 at least",
+                "f.toml:4:10: cluster.seeds[0]: 10.0.0.2:0 is no number and port to send to",
+                "cluster.seeds[0]: 10.0.0.2:0 and cluster.bind are IPv4 and IPv6",
+            ],
+        ),
+        (&format!("{cluster}seeds = ['scheduler-2:7946']"), &["f.toml:4:9: cluster.seeds", "10.0.0.1:7946"]),
+        (&format!("{cluster}advertise = '0.0.0.0:1'"), &["f.toml:4:13: cluster.advertise: 0.0.0.0:1"]),
+        (
+            &format!("{cluster}probe_timeout = '1s'"),
+            &["f.toml:4:17: cluster.probe_timeout: 1s is not over 0 and under the probe_interval of 1s"],
+        ),
+        (
+            &format!("{cluster}probe_interval = '2m'"),
+            &["f.toml:4:18: cluster.probe_interval: 2m is not between 10ms and 1m"],
+        ),
+        (&format!("{cluster}indirect = 0"), &["f.toml:4:12: cluster.indirect: 0 is not between 1 and 16"]),
+        (&format!("{cluster}suspicion = nan"), &["f.toml:4:13: cluster.suspicion: NaN is not over 0"]),
+        (&format!("{cluster}region = '{}'", "r".repeat(65)), &["f.toml:4:10: cluster.region: 65 bytes"]),
+        (&format!("name = ''\n{cluster}"), &["f.toml:1:8: name: is empty"]),
         ("[records]\nqueue = 1", &["records.queue: 1 is not between 16 and 1000000"]),
         ("[records]\nrotate_at = '1 KiB'", &["records.rotate_at: 1 KiB is too little; at least 64 KiB"]),
     ];
@@ -115,6 +151,8 @@
     let keyed = Effect::Keyed { scope: KeyScope::Zone, window: 12 * SECOND };
     assert_eq!(start.given.node.effects, [Effect::Safe, keyed, Effect::Unsafe]);
     assert_eq!(start.given.decisions.classes[2].deadline, 7_500_000);
+    let cluster = read(CLUSTER).expect("good").config.cluster;
+    assert!(cluster.bind.is_some() && cluster.seeds.len() == 2 && cluster.key_file.is_some());
     let SourceSpec::Fixed(list) = start.source else { panic!("a fixed list") };
     assert_eq!((list.members.len(), &*list.members[1].zone), (2, "b"));
 }
--- a/crates/copperspread/src/main.rs
+++ b/crates/copperspread/src/main.rs
@@ -4,6 +4,8 @@
 mod cli;
 mod logging;
 mod origin;
+#[cfg(feature = "standalone")]
+mod peers;
 mod serve;
 #[cfg(feature = "standalone")]
 mod standalone;
--- a/crates/copperspread/src/origin.rs
+++ b/crates/copperspread/src/origin.rs
@@ -32,6 +32,9 @@
     pub log: LogSpec,
     /// The records, if any are kept. The platform has no disk that lasts: none there.
     pub records: Option<writer::Spec>,
+    /// Membership among schedulers, if it is on. The platform names no peers: none there.
+    #[cfg(feature = "standalone")]
+    pub membership: Option<crate::peers::Membership>,
 }
 
 impl Told {
@@ -44,6 +47,10 @@
         if self.records != other.records {
             parts.push("records");
         }
+        #[cfg(feature = "standalone")]
+        if self.membership != other.membership {
+            parts.push("cluster");
+        }
         parts
     }
 }
@@ -72,9 +79,13 @@
     /// What is wrong, with its place; perhaps several lines.
     pub fn read(&self) -> Result<Told, String> {
         match self {
-            Origin::Platform(path) => {
-                Ok(Told { start: of_platform_file(path)?, log: LogSpec::default(), records: None })
-            }
+            Origin::Platform(path) => Ok(Told {
+                start: of_platform_file(path)?,
+                log: LogSpec::default(),
+                records: None,
+                #[cfg(feature = "standalone")]
+                membership: None,
+            }),
             #[cfg(feature = "standalone")]
             Origin::Standalone { file, flags, seed } => {
                 crate::standalone::read(file.as_deref(), flags, *seed)
--- a/crates/copperspread/src/serve.rs
+++ b/crates/copperspread/src/serve.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use copperspread_decisions::{Dispatcher, Micros};
-use copperspread_node::assembly::{Assembled, assemble};
+use copperspread_node::assembly::{Assembled, assemble_with};
 use copperspread_node::clock::from_now;
 use copperspread_node::front::Front;
 use copperspread_node::invariant::{counts, hear};
@@ -101,7 +101,14 @@
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let dispatcher =
         Dispatcher::new(config.given.decisions.clone(), config.seed).map_err(|e| e.to_string())?;
-    let assembled = assemble(config, Box::new(dispatcher), recorder).await?;
+    // Dropped with an error, it ends at once: nobody has been told anything yet that matters.
+    #[cfg(feature = "standalone")]
+    let peers = started.membership.as_ref().map(|of| of.begin(config.seed)).transpose()?;
+    #[cfg(feature = "standalone")]
+    let pages: Vec<_> = peers.iter().map(crate::peers::page).collect();
+    #[cfg(not(feature = "standalone"))]
+    let pages = [];
+    let assembled = assemble_with(config, Box::new(dispatcher), recorder, &pages).await?;
     let Assembled { node, edge, membership, known, .. } = &assembled;
     let hearer = Arc::clone(&node.witness);
     hear(Box::new(move |what, count| hearer.limit(what, count)));
@@ -154,9 +161,14 @@
             }
         }
     }
+    // First of all, so that the others know while this one still answers.
+    #[cfg(feature = "standalone")]
+    peers.iter().for_each(copperspread_peers::Peers::leave);
     let ends = assembled.end();
     info!("ending, {} flows to answer", node.decisions.flows());
     let left = assembled.ended(ends).await;
+    #[cfg(feature = "standalone")]
+    peers.into_iter().for_each(crate::peers::ended);
     for (what, count) in counts() {
         info!("{what}: {count} in all");
     }
--- a/crates/copperspread/src/standalone.rs
+++ b/crates/copperspread/src/standalone.rs
@@ -14,7 +14,7 @@
 
 /// The bounds that this process has from outside.
 fn around() -> Surroundings {
-    Surroundings { descriptors: getrlimit(Resource::Nofile).current }
+    Surroundings { descriptors: getrlimit(Resource::Nofile).current, key_file: Some(crate::peers::check_key) }
 }
 
 fn effective(file: Option<&Path>, flags: &[String]) -> Result<(Effective, LogSpec), String> {
@@ -45,7 +45,8 @@
         keep: kept.keep,
         queue: kept.queue as usize,
     });
-    Ok(Told { start: effective.config.start(seed)?, log, records })
+    let membership = crate::peers::Membership::of(&effective.config);
+    Ok(Told { start: effective.config.start(seed)?, log, records, membership })
 }
 
 /// Checks a configuration and prints what is in force.
--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -14,7 +14,7 @@
 use crate::entries::ServiceEntries;
 use crate::front::Front;
 use crate::front::edge_connection::Edge;
-use crate::front::http::{Guest, front};
+use crate::front::http::{Guest, Page, front};
 use crate::node::Node;
 use crate::probes;
 use crate::source::Membership;
@@ -51,6 +51,19 @@
     start: &Start,
     decide: Box<dyn Decide>,
     recorder: &Recorder,
+) -> Result<Assembled, String> {
+    assemble_with(start, decide, recorder, &[]).await
+}
+
+/// The same with pages of the program's own.
+///
+/// # Errors
+/// As [`assemble`].
+pub async fn assemble_with(
+    start: &Start,
+    decide: Box<dyn Decide>,
+    recorder: &Recorder,
+    pages: &[Page],
 ) -> Result<Assembled, String> {
     let clock = Clock::start();
     let given = &start.given;
@@ -71,7 +84,7 @@
     let listener = TcpListener::bind(start.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", start.listen))?;
     let guest = Guest { path: CALL_BACK_PATH, take: Arc::new(call_backs(entries, decisions)) };
-    let edge = front(Arc::clone(&node), guest, listener, start.sockets, start.memory_mb);
+    let edge = front(Arc::clone(&node), guest, pages, listener, start.sockets, start.memory_mb);
     tokio::spawn(probes::carry_out(Arc::clone(&node)));
     let longest = given.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     Ok(Assembled { node, edge, membership, known, longest })
--- a/crates/node/src/front/http.rs
+++ b/crates/node/src/front/http.rs
@@ -51,26 +51,41 @@
 /// Takes one message; the error says in words why it is none.
 pub type Take = dyn Fn(&[u8]) -> Result<(), String> + Send + Sync;
 
+/// A page of the program's own at the clients' address, beside `/-/ready`.
+#[derive(Clone)]
+pub struct Page {
+    /// Where it is, by `GET`.
+    pub path: &'static str,
+    /// Its text, JSON, made on each request; it waits for nothing.
+    pub json: Arc<dyn Fn() -> String + Send + Sync>,
+}
+
 /// The front that speaks the platform's HTTP/1.1, on a listener and within the limits.
 pub fn front(
     node: Arc<Node>,
     guest: Guest,
+    pages: &[Page],
     listener: TcpListener,
     sockets: usize,
     memory_mb: f64,
 ) -> Arc<Edge> {
     let ending = node.ending.clone();
     let guest_path = guest.path;
-    Edge::new(routes(node, guest), guest_path, ending, listener, sockets, memory_mb)
+    Edge::new(routes(node, guest, pages), guest_path, ending, listener, sockets, memory_mb)
 }
 
 /// What is answered where.
-pub fn routes(node: Arc<Node>, guest: Guest) -> Router {
-    Router::new()
+pub fn routes(node: Arc<Node>, guest: Guest, pages: &[Page]) -> Router {
+    let own = Router::new()
         .route(guest.path, post(call_back).with_state(guest))
         .route("/-/ready", get(ready))
         .fallback(job)
-        .with_state(node)
+        .with_state(node);
+    pages.iter().fold(own, |own, Page { path, json }| {
+        let json = Arc::clone(json);
+        let answer = move || async move { ([(header::CONTENT_TYPE, "application/json")], json()) };
+        own.route(path, get(answer))
+    })
 }
 
 async fn ready(State(node): State<Arc<Node>>) -> StatusCode {
