Blame no scheduler of the laboratory for an answer whose segment was sent again

Cause. tests/lab.rs has been red since: with a broken scheduler of kind Resends, then IgnoresDrains, a rule of nobody's was broken once. Traced: the module failed the request at its deadline, 100 ms before the client's last moment; the answer took 200 ms, as sim.rs (`way`) sent a lost segment again. Ruled out: a request the module forgets.

The referee holds a client's answer against the moment it left (referee.rs, `said`).

--- a/crates/lab/src/referee.rs
+++ b/crates/lab/src/referee.rs
@@ -56,6 +56,8 @@
 
 struct Client {
     answers: u32,
+    /// A scheduler has sent its answer off.
+    said: bool,
     gives_up: Micros,
     /// A worker made a result for it.
     made: bool,
@@ -127,7 +129,7 @@
 
     /// A client asks, and gives up at an instant.
     pub fn asked(&mut self, request: RequestId, gives_up: Micros) {
-        self.clients.insert(request, Client { answers: 0, gives_up, made: false });
+        self.clients.insert(request, Client { answers: 0, said: false, gives_up, made: false });
     }
 
     /// A worker told that it made a request's result.
@@ -151,10 +153,19 @@
         }
     }
 
-    /// A client gives up, or a little later: has it had its answer?
+    /// A scheduler sends a client's answer off.
+    pub fn said(&mut self, request: RequestId) {
+        if let Some(client) = self.clients.get_mut(&request) {
+            client.said = true;
+        }
+    }
+
+    /// A client gives up, or a little later: has it had its answer? One that was under way by then, held up by a
+    /// segment sent again, is no scheduler's breach.
     pub fn gave_up(&mut self, now: Micros, request: RequestId) {
         if let Some(client) = self.clients.get(&request)
             && client.answers == 0
+            && !client.said
             && now >= client.gives_up
         {
             self.breach(Rule::AnswerInTime, now, || format!("request {:x}", request.0));
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -686,6 +686,7 @@
     fn say(&mut self, request: u64, answer: Final) {
         let Some(flow) = self.flows.get_mut(&request) else { return };
         flow.answered = true;
+        self.referee.said(RequestId(request));
         let zone = self.schedulers[flow.scheduler as usize].zone;
         let way = self.way(zone, zone);
         self.at(self.now + way, Ev::Answer(request, answer));
