--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -1,10 +1,12 @@
 //! Members of a cluster on a network in virtual time that loses, delays and cuts, and processes that pause,
 //! die and come back. The same seed gives the same play.
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use copperspread_cluster::*;
+use copperspread_faults::{Act, Fault, Links, Plan, Weather};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -16,6 +18,23 @@
     SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7000))
 }
 
+/// Whose address it is.
+fn number(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(at) => Some(usize::from(at.ip().octets()[2]) << 8 | usize::from(at.ip().octets()[3])),
+        SocketAddr::V6(_) => None,
+    }
+}
+
+/// A span in the core's unit.
+fn micros(span: Duration) -> Micros {
+    span.as_micros() as Micros
+}
+
+/// The network on a usual day: nothing is lost, each packet takes between 0.5 and 20.5 ms.
+const USUAL: Weather =
+    Weather { least: Duration::from_micros(500), most: Duration::from_micros(20_500), ..Weather::FAIR };
+
 /// The key of all members here.
 pub fn key() -> Key {
     Key::new(b"a key for the tests alone").expect("a key")
@@ -32,6 +51,8 @@
     cluster: Cluster,
     /// Stopped until then; packets wait for it.
     paused: Micros,
+    /// Its next wake, or its last one; others that are still on their way are void.
+    armed: Micros,
     waiting: Vec<Vec<u8>>,
 }
 
@@ -49,10 +70,12 @@
     count: u64,
     processes: Vec<Option<Process>>,
     chance: Pcg64Mcg,
-    /// The share of packets lost on every link.
-    pub loss: f64,
-    /// From whom to whom nothing comes.
-    pub cut: HashSet<(usize, usize)>,
+    /// What becomes of packets.
+    pub links: Links,
+    /// How the members that are started watch the others.
+    pub settings: Settings,
+    /// The generation of each place's last process.
+    generations: Vec<u64>,
     /// What was said: when, by whom, what.
     pub said: Vec<(Micros, usize, Effect)>,
     /// Packets sent.
@@ -67,7 +90,15 @@
     /// # Panics
     /// They have not within 120 s.
     pub fn joined(members: usize, seed: u64) -> Net {
-        let mut net = Net::new(members, seed);
+        Net::joined_with(members, seed, Settings::default())
+    }
+
+    /// The same with settings, whose seeds do not count.
+    ///
+    /// # Panics
+    /// They have not found each other within 120 s.
+    pub fn joined_with(members: usize, seed: u64, settings: Settings) -> Net {
+        let mut net = Net { settings, ..Net::new(members, seed) };
         (0..members).for_each(|number| net.start(number, 1, &[0]));
         let by = 120 * SECOND;
         while net.now < by && !net.all_see(members - 1) {
@@ -88,8 +119,9 @@
             count: 0,
             processes: (0..members).map(|_| None).collect(),
             chance: Pcg64Mcg::seed_from_u64(seed),
-            loss: 0.0,
-            cut: HashSet::new(),
+            links: Links::new(USUAL),
+            settings: Settings::default(),
+            generations: vec![0; members],
             said: Vec::new(),
             packets: 0,
             bytes: 0,
@@ -99,11 +131,12 @@
     /// A process starts, from nothing.
     pub fn start(&mut self, number: usize, generation: u64, seeds: &[usize]) {
         let seeds = seeds.iter().map(|&seed| address(seed)).collect();
-        let settings = Settings { seeds, ..Settings::default() };
+        let settings = Settings { seeds, ..self.settings.clone() };
+        self.generations[number] = generation;
         let chance = self.chance.random();
         let cluster = Cluster::new(named(number, generation), settings, key(), chance).expect("settings");
-        self.processes[number] = Some(Process { cluster, paused: 0, waiting: Vec::new() });
-        self.at(self.now + 1, number, Ev::Wakes(number));
+        self.processes[number] = Some(Process { cluster, paused: 0, armed: 0, waiting: Vec::new() });
+        self.arm(number, self.now + 1);
     }
 
     /// A process ends, and says nothing.
@@ -123,29 +156,71 @@
 
     /// A process is stopped for a span; packets wait for it, time does not.
     pub fn pause(&mut self, number: usize, span: Micros) {
-        let until = self.now + span;
+        self.pause_until(number, self.now + span);
+        self.arm(number, self.now + span);
+    }
+
+    fn pause_until(&mut self, number: usize, until: Micros) {
         if let Some(process) = &mut self.processes[number] {
             process.paused = until;
         }
-        self.at(until, number, Ev::Wakes(number));
     }
 
-    /// Cuts all between two groups, both ways.
-    pub fn part(&mut self, group: std::ops::Range<usize>) {
-        let all = 0..self.processes.len();
-        for a in all.clone().filter(|a| group.contains(a)) {
-            for b in all.clone().filter(|b| !group.contains(b)) {
-                self.cut.extend([(a, b), (b, a)]);
+    /// Lets a fault happen now. A process that starts asks the first member.
+    pub fn happens(&mut self, fault: &Fault) {
+        self.links.take(fault);
+        match *fault {
+            Fault::Process(whom, Act::Pause) => self.pause_until(whom, Micros::MAX),
+            Fault::Process(whom, Act::Resume) => {
+                self.pause_until(whom, self.now);
+                self.arm(whom, self.now);
             }
+            Fault::Process(whom, Act::Kill) => self.kill(whom),
+            Fault::Process(whom, Act::Start) => self.start(whom, self.generations[whom] + 1, &[0]),
+            _ => {}
         }
     }
 
+    /// Plays a plan from now to its last step.
+    pub fn play(&mut self, plan: &Plan) {
+        let start = self.now;
+        for (at, fault) in &plan.steps {
+            self.run((start + micros(*at)).saturating_sub(self.now));
+            self.happens(fault);
+        }
+    }
+
+    /// Runs until something holds, a step at a time; after how long, or nothing where it did not within a span.
+    pub fn until(
+        &mut self,
+        within: Micros,
+        step: Micros,
+        mut holds: impl FnMut(&Net) -> bool,
+    ) -> Option<Micros> {
+        let start = self.now;
+        while !holds(self) {
+            if self.now - start >= within {
+                return None;
+            }
+            self.run(step);
+        }
+        Some(self.now - start)
+    }
+
     fn at(&mut self, at: Micros, whom: usize, event: Ev) {
         self.count += 1;
         self.events.insert(self.count, event);
         self.heap.push(Reverse((at, self.count, whom)));
     }
 
+    /// A process wakes then, and not before.
+    fn arm(&mut self, whom: usize, at: Micros) {
+        if let Some(process) = &mut self.processes[whom] {
+            process.armed = at;
+            self.at(at, whom, Ev::Wakes(whom));
+        }
+    }
+
     /// Time goes on by a span.
     pub fn run(&mut self, span: Micros) {
         let until = self.now + span;
@@ -178,7 +253,7 @@
     fn wakes(&mut self, whom: usize) {
         let now = self.now;
         let Some(process) = &mut self.processes[whom] else { return };
-        if process.paused > now {
+        if process.paused > now || process.armed > now {
             return;
         }
         for packet in std::mem::take(&mut process.waiting) {
@@ -192,11 +267,10 @@
         let now = self.now;
         let Some(process) = &mut self.processes[whom] else { return None };
         let mut effects = Vec::new();
-        let before = process.cluster.next_due();
         let taken = process.cluster.handle(now, input, &mut effects);
-        let due = process.cluster.next_due();
-        if let Some(due) = due.filter(|_| matches!(input, Input::Due) || due != before) {
-            self.at(due.max(now + 1), whom, Ev::Wakes(whom));
+        let due = process.cluster.next_due().map(|due| due.max(now + 1));
+        if let Some(due) = due.filter(|&due| process.armed <= now || due < process.armed) {
+            self.arm(whom, due);
         }
         self.carry(whom, effects);
         taken.err()
@@ -212,12 +286,14 @@
             assert!(packet.len() <= MOST_PACKET, "{} bytes", packet.len());
             self.packets += 1;
             self.bytes += packet.len() as u64;
-            let Some(to) = (0..self.processes.len()).find(|&at| address(at) == to) else { continue };
-            if self.cut.contains(&(whom, to)) || self.chance.random::<f64>() < self.loss {
-                continue;
+            let Some(to) = number(to).filter(|&to| to < self.processes.len()) else { continue };
+            let [first, second] = self.links.way(whom, to, &mut self.chance);
+            if let Some(way) = second {
+                self.at(now + micros(way), to, Ev::Arrives(to, packet.clone()));
+            }
+            if let Some(way) = first {
+                self.at(now + micros(way), to, Ev::Arrives(to, packet));
             }
-            let way = MS / 2 + self.chance.random_range(0..20 * MS);
-            self.at(now + way, to, Ev::Arrives(to, packet));
         }
     }
 
--- a/crates/lab/tests/membership.rs
+++ b/crates/lab/tests/membership.rs
@@ -1,5 +1,6 @@
 //! The failures that membership is for, each caused on a faulty network in virtual time.
 use copperspread_cluster::*;
+use copperspread_faults::Fault;
 use copperspread_lab::members::*;
 
 #[test]
@@ -42,7 +43,7 @@
 fn at_30_percent_loss_nobody_is_declared_dead_within_60_s() {
     for seed in 0..30 {
         let mut net = Net::joined(9, seed);
-        net.loss = 0.3;
+        net.links.weather.lose = 0.3;
         net.run(60 * SECOND);
         assert!(net.downs().is_empty(), "seed {seed}: {:?}", net.downs());
     }
@@ -53,7 +54,7 @@
 fn a_one_sided_cut_between_two_evicts_neither() {
     for seed in 0..5 {
         let mut net = Net::joined(7, seed);
-        net.cut.insert((0, 1));
+        net.links.cut.insert((0, 1));
         net.run(60 * SECOND);
         assert!(net.downs().is_empty() && net.all_see(6), "seed {seed}: {:?}", net.downs());
     }
@@ -63,10 +64,10 @@
 #[test]
 fn a_member_that_nobody_hears_goes_and_returns_when_the_cut_heals() {
     let mut net = Net::joined(7, 3);
-    net.cut.extend((0..7).filter(|&to| to != 2).map(|to| (2, to)));
+    net.links.cut.extend((0..7).filter(|&to| to != 2).map(|to| (2, to)));
     net.run(30 * SECOND);
     assert!((0..7).filter(|&by| by != 2).all(|by| !net.sees(by, 2) && net.seen(by).len() == 5));
-    net.cut.clear();
+    net.links.cut.clear();
     net.run(30 * SECOND);
     assert!(net.all_see(6));
 }
@@ -74,10 +75,10 @@
 #[test]
 fn two_halves_part_and_become_one_view_again() {
     let mut net = Net::joined(9, 4);
-    net.part(0..4);
+    net.happens(&Fault::Part { one: (0..4).collect(), other: (4..9).collect() });
     net.run(30 * SECOND);
     assert!((0..4).all(|at| net.seen(at).len() == 3) && (4..9).all(|at| net.seen(at).len() == 4));
-    net.cut.clear();
+    net.links.cut.clear();
     net.run(30 * SECOND);
     assert!(net.all_see(8), "30 s after the cut healed");
 }
