--- /dev/null
+++ b/crates/harness/src/block.rs
@@ -0,0 +1,59 @@
+//! Addresses of a fleet's own on loopback.
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+
+/// The number in a block that holds the claim to it.
+const CLAIM: u8 = 251;
+/// The claim's port, below those that the system gives out: the same in all blocks, as it is the lock.
+const CLAIM_PORT: u16 = 21_921;
+/// The number in a block that the relays have.
+const RELAYS: u8 = 250;
+/// Tries to get one port for both protocols.
+const TRIES: u32 = 100;
+
+/// A block of 256 addresses, claimed until it is dropped.
+pub(crate) struct Block {
+    third: u8,
+    _claim: TcpListener,
+}
+
+impl Block {
+    /// The first that no other fleet of this machine has.
+    pub(crate) fn claim() -> Block {
+        let free = (1..=u8::MAX).find_map(|third| {
+            let claim = TcpListener::bind((Ipv4Addr::new(127, 0, third, CLAIM), CLAIM_PORT)).ok()?;
+            Some(Block { third, _claim: claim })
+        });
+        free.expect("a block of loopback addresses that no other fleet has")
+    }
+
+    /// The address of a member, from 0.
+    pub(crate) fn member(&self, number: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, 0, self.third, number as u8 + 1)
+    }
+
+    /// Which member has an address.
+    pub(crate) fn number(&self, of: SocketAddr) -> Option<usize> {
+        match of {
+            SocketAddr::V4(of) if of.ip().octets()[..3] == [127, 0, self.third] => {
+                let last = of.ip().octets()[3];
+                (last != 0 && last < RELAYS).then(|| usize::from(last) - 1)
+            }
+            _ => None,
+        }
+    }
+
+    /// The address of all relays.
+    pub(crate) fn relays(&self) -> Ipv4Addr {
+        Ipv4Addr::new(127, 0, self.third, RELAYS)
+    }
+}
+
+/// One port for TCP and UDP.
+pub(crate) fn both(at: Ipv4Addr) -> (TcpListener, UdpSocket, SocketAddr) {
+    let one = || {
+        let streams = TcpListener::bind((at, 0)).ok()?;
+        let address = streams.local_addr().ok()?;
+        Some((streams, UdpSocket::bind(address).ok()?, address))
+    };
+    (0..TRIES).find_map(|_| one()).expect("a port for TCP and UDP")
+}
