--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -10,8 +10,6 @@
 
 /// Attempts kept for one request; a site that allows more is held to this many.
 const MAX_ATTEMPTS: usize = 8;
-/// Jobs of one worker that are told apart.
-const MAX_RUNNING: usize = 64;
 /// Workers compared for one job, from a random place on: more would cost more than they find.
 const SCAN_MOST: usize = 200;
 /// The regular round over all workers: short beside the seconds in which roles and rates change.
@@ -96,10 +94,12 @@
 const SHED_MOST: f64 = 0.7;
 /// How fast the price below which jobs are shed follows what is offered.
 const SHED_GAIN: f64 = 0.1;
-/// The ranking counts the wait this many times: the job's own, and that of those that come behind it.
+/// The ranking counts the excess this many times: the time it costs the job itself and, about twice
+/// as much, those that wait behind it. At 1 all crowd onto the fast kind, at 5 they spread too thin.
 const CROWD: f64 = 3.0;
-/// A job that has run for longer than expected goes on for this part of that at the least.
-const OVERRUN: f64 = 0.1;
+/// Makes a hyperbola follow the mean of a normal figure's part above 0: both agree at a mean of 0,
+/// where it is 0.4 standard deviations, and far from it.
+const SPREAD: f64 = 0.64;
 /// Share of a cold worker's budget that all may use. What one sends counts for a whole window, so that none
 /// sends more than its part in any; the rest is for dispatchers that judge the worker's capacity unlike.
 const COLD_AIM: f64 = 0.9;
@@ -206,12 +206,7 @@
     request: RequestId,
     attempt: u32,
     slots: f64,
-    memory: f64,
     sent_at: Micros,
-    /// How long it runs, in seconds, and when it ends: from its start on, or where starts are not told.
-    lasts: f64,
-    started: Option<Micros>,
-    ends: Option<Micros>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -233,7 +228,6 @@
 struct Request {
     class: usize,
     slots: f64,
-    memory: f64,
     /// The cost hint, or the usual time of its class, or 1.
     work: f64,
     hinted: bool,
@@ -283,9 +277,6 @@
     /// Work times slots of a job, and slots of a job, on average.
     mean_load: f64,
     mean_slots: f64,
-    /// Work squared times slots, and memory.
-    mean_square: f64,
-    mean_memory: f64,
     version: u64,
     subscribed: bool,
     /// A call to discovery is under way or has a timer.
@@ -314,35 +305,6 @@
     figure.filter(|&x| x.is_finite() && x > 0.0 && x <= most)
 }
 
-/// What runs at a worker that starts its jobs in order, the first as soon as it fits.
-struct Queue {
-    slots: f64,
-    /// Free slots and units of memory.
-    free: (f64, f64),
-    /// When the last job started.
-    at: f64,
-    /// For each job that runs, when it ends, its slots and its memory.
-    running: ArrayVec<(f64, f64, f64), MAX_RUNNING>,
-}
-
-impl Queue {
-    /// When the next job starts, in seconds.
-    fn start(&mut self, slots: f64, memory: f64, lasts: f64) -> f64 {
-        let (slots, memory) = (slots.min(self.slots), memory.min(self.slots));
-        while self.free.0 < slots - 0.01 || self.free.1 < memory - 0.01 {
-            let ends = self.running.iter().enumerate().min_by(|a, b| a.1.0.total_cmp(&b.1.0));
-            let Some((first, _)) = ends else { break };
-            let (ended, slots, memory) = self.running.swap_remove(first);
-            self.at = self.at.max(ended);
-            self.free = (self.free.0 + slots, self.free.1 + memory);
-        }
-        self.free = (self.free.0 - slots, self.free.1 - memory);
-        // Past the bound the queue is so long that one job more tells nothing.
-        let _ = self.running.try_push((self.at + lasts, slots, memory));
-        self.at
-    }
-}
-
 impl Dispatcher {
     /// Makes a dispatcher from what it is told at its start; `seed` settles all its chance.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -361,7 +323,6 @@
             probes: PROBES_SAVED,
             mean_load: 1.0,
             mean_slots: 1.0,
-            mean_square: 1.0,
             class_time,
             longest_try,
             ..Dispatcher::default()
@@ -721,40 +682,16 @@
 
     // ---- The estimate and the gate ---------------------------------------------------------
 
-    /// The job's time at a worker: its running time and its wait, where eq. (1) shares the worker out among
-    /// all jobs there, as these workers start jobs in order. The wait is a mean over what others may hold.
+    /// Eq. (1): the job's time at a worker. Where the paper knows all jobs there, a dispatcher
+    /// knows its own and expects the others', so that it does not crowd onto one quick worker
+    /// together with its peers; the excess over the slots is a mean over what they may hold.
     fn estimate(&self, now: Micros, worker: &Worker, job: &Request) -> (f64, f64) {
         let alone = job.work / worker.service_rate;
         let slots = self.slots_of(worker);
         let (others, variance) = self.others(now, worker, slots);
-        let wait = |others| self.wait(now, worker, job, slots, others);
-        let (few, many) = ((others - variance.sqrt()).max(0.0), others + variance.sqrt());
-        let wait = 0.25 * (wait(few) + wait(many)) + 0.5 * wait(others);
-        (alone + wait, alone + CROWD * wait)
-    }
-
-    /// How long a job waits at a worker that starts its jobs in order, the first as soon as it fits: behind
-    /// this dispatcher's jobs there, and so many slots of others'.
-    fn wait(&self, now: Micros, worker: &Worker, job: &Request, slots: f64, others: f64) -> f64 {
-        let mut queue = Queue { slots, free: (slots, slots), at: 0.0, running: ArrayVec::new() };
-        for held in &worker.jobs {
-            if let Some(ends) = held.ends {
-                let left = (ends as f64 - now as f64) / SECOND as f64;
-                queue.start(held.slots, held.memory, left.max(OVERRUN * held.lasts));
-            }
-        }
-        // Others' jobs are met at random moments of theirs, long ones more often than short ones.
-        let left = 0.5 * self.mean_square / self.mean_load / worker.service_rate;
-        let parts = (others / self.mean_slots).ceil().min(32.0);
-        let each = others / parts;
-        for part in 0..parts as u32 {
-            let ends = -left * (1.0 - (f64::from(part) + 0.5) / parts).ln();
-            queue.start(each, each * self.mean_memory / self.mean_slots, ends);
-        }
-        for held in worker.jobs.iter().filter(|held| held.ends.is_none()) {
-            queue.start(held.slots, held.memory, held.lasts);
-        }
-        queue.start(job.slots, job.memory, 0.0)
+        let over = worker.own_slots + job.slots + others - slots;
+        let excess = 0.5 * (over + (over * over + SPREAD * variance).sqrt());
+        (alone * (1.0 + excess / slots), alone * (1.0 + CROWD * excess / slots))
     }
 
     /// The share of attempts at a worker that end in an answer. The ranking divides by it: guards
@@ -924,7 +861,6 @@
         let mut request = Request {
             class,
             slots: sane(job.slots, MAX_UNITS).unwrap_or(1.0),
-            memory: sane(job.memory, MAX_UNITS).unwrap_or(0.0),
             work,
             hinted: hint.is_some(),
             aim_at: now.saturating_add(settings.aim).saturating_sub(spent),
@@ -936,8 +872,6 @@
         self.copies = (self.copies + COPY_EARNED).min(COPY_SAVED);
         self.mean_load += (request.work * request.slots - self.mean_load) * BUSY_GAIN;
         self.mean_slots += (request.slots - self.mean_slots) * BUSY_GAIN;
-        self.mean_square += (request.work * request.work * request.slots - self.mean_square) * BUSY_GAIN;
-        self.mean_memory += (request.memory - self.mean_memory) * BUSY_GAIN;
         if self.shed(now, &request, job.tenant) {
             // Slots are scarce: about one usual job later some of them are free.
             actions.push(refuse(span(self.job_time), Refusal::Scarce));
@@ -996,18 +930,12 @@
         let slots = self.slots_of(&self.workers[index]);
         let (estimate, _) = self.estimate(now, &self.workers[index], request);
         let worker = &mut self.workers[index];
-        let lasts = request.work / worker.service_rate;
         worker.own_slots += request.slots;
         worker.jobs.push(Held {
             request: id,
             attempt: request.attempts.len() as u32,
             slots: request.slots,
-            memory: request.memory,
             sent_at: now,
-            lasts,
-            started: None,
-            // Where starts are not told, as estimated.
-            ends: (!self.settings.tells_start).then(|| now.saturating_add(span(estimate))),
         });
         if cold {
             // Summed over short steps: guards against a cost that grows with the number of jobs.
@@ -1084,14 +1012,9 @@
         if !attempt.out {
             return;
         }
-        let held = &mut self.workers[attempt.worker as usize].jobs;
-        let held = held.iter_mut().find(|held| (held.request, held.attempt) == (id, number));
         match progress {
             Progress::Started => {
                 attempt.mark = Some((now, 0.0));
-                if let Some(held) = held {
-                    (held.started, held.ends) = (Some(now), Some(now.saturating_add(span(held.lasts))));
-                }
                 if self.settings.may_cancel {
                     // One copy runs: those that still wait are called off.
                     for (other, attempt) in request.attempts.iter().enumerate() {
@@ -1102,10 +1025,6 @@
                 }
             }
             Progress::Done(share) if share > 0.0 && share < 1.0 => {
-                if let Some((held, at)) = held.and_then(|held| held.started.map(|at| (held, at))) {
-                    // What is left goes on as what is done did: hints are noisy, and speeds change.
-                    held.ends = Some(now.saturating_add(span(secs(now - at) * (1.0 - share) / share)));
-                }
                 let earlier = attempt.mark.replace((now, share));
                 let index = attempt.worker as usize;
                 if let Some((at, done)) = earlier
