--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -41,6 +41,8 @@
 const LEVEL_GAIN: f64 = 0.1;
 /// Most that one report adds to the level, in shares of slots.
 const LEVEL_CAP: f64 = 2.0;
+/// Most by which a kind's or a zone's load is taken to differ from what was expected.
+const SKEW_MOST: f64 = 5.0;
 /// Weight of one figure in a slow mean: about the last twenty count.
 const BUSY_GAIN: f64 = 0.05;
 /// Weight of one report in a kind's slots when it shows more than is known; noise is up to a fifth.
@@ -151,12 +153,38 @@
     }
 }
 
+/// How loaded some workers are against what was expected of them.
+#[derive(Clone, Copy, Debug)]
+struct Skew {
+    seen: f64,
+    expected: f64,
+}
+
+impl Default for Skew {
+    fn default() -> Self {
+        Skew { seen: BUSY_AT_FIRST, expected: BUSY_AT_FIRST }
+    }
+}
+
+impl Skew {
+    fn learn(&mut self, seen: f64, expected: f64) {
+        self.seen += (seen - self.seen) * BUSY_GAIN;
+        self.expected += (expected - self.expected) * BUSY_GAIN;
+    }
+
+    fn ratio(&self) -> f64 {
+        (self.seen / self.expected.max(1e-3)).clamp(1.0 / SKEW_MOST, SKEW_MOST)
+    }
+}
+
 /// What is known of the workers of one kind, or of all.
 #[derive(Clone, Copy, Debug, Default)]
 struct Pool {
     rate: Rate,
     /// Slots of one worker of the kind.
     slots: Option<f64>,
+    /// Its share of slots taken against the fleet's.
+    skew: Skew,
     /// Share of attempts turned away unseen.
     full: f64,
     /// Largest size listed: one of an idle worker.
@@ -256,6 +284,7 @@
     rng: fastrand::Rng,
     workers: Vec<Worker>,
     kinds: Vec<Pool>,
+    zones: Vec<Skew>,
     /// Mean share of slots that is taken, by all dispatchers, waiting jobs included.
     busy: f64,
     fleet: Pool,
@@ -456,11 +485,14 @@
 
     fn enter(&mut self, now: Micros, entry: &WorkerEntry) {
         let index = entry.worker.0 as usize;
-        let kind = entry.kind as usize;
+        let (kind, zone) = (entry.kind as usize, entry.zone as usize);
         // Ids are given out densely; a wild one would only ask for memory.
-        if index > self.workers.len() + 100_000 || kind > 10_000 {
+        if index > self.workers.len() + 100_000 || kind > 10_000 || zone > 10_000 {
             return;
         }
+        if zone >= self.zones.len() {
+            self.zones.resize(zone + 1, Skew::default());
+        }
         if kind >= self.kinds.len() {
             self.kinds.resize(kind + 1, Pool::default());
         }
@@ -561,6 +593,11 @@
         // Guards against a few sick workers whose long queues would pass for a lack of slots.
         let taken = (total / slots).min(LEVEL_CAP);
         self.busy += (taken - self.busy) * LEVEL_GAIN;
+        // The level moves fast; how kinds and zones differ moves slowly and is learned apart, a zone against
+        // what its kinds carry, so that the level is not explained away twice.
+        let kind = &mut self.kinds[kind].skew;
+        kind.learn(taken, self.busy);
+        self.zones[self.workers[index].zone as usize].learn(taken, self.busy * kind.ratio());
         // What is told was so some time ago: own jobs sent since are not in it, some that ended are.
         // Guards against dispatchers that take each other's jobs for their own and meet there.
         let then = now.saturating_sub(REPORT_AGE);
@@ -651,7 +688,9 @@
             let part = 1.0 / f64::from(self.settings.fleet_size);
             return (all * (1.0 - part), all * (1.0 - fresh * fresh));
         }
-        let mean = self.busy * slots;
+        // Guards against a crowded zone that keeps its crowd while its kinds look usual elsewhere.
+        let skew = self.kinds[worker.kind as usize].skew.ratio() * self.zones[worker.zone as usize].ratio();
+        let mean = self.busy * skew * slots;
         // This dispatcher's own jobs are a sample of all: the more it has here, the more its
         // peers, who judge alike, are likely to have. Guards against late and missing reports.
         let part = 1.0 / f64::from(self.settings.fleet_size);
@@ -662,7 +701,7 @@
             Some(at) => {
                 // Falls about as the exponential, at less cost.
                 let age = secs(now.saturating_sub(at) + REPORT_AGE);
-                let aged = 1.0 + age / (2.0 * self.job_time);
+                let aged = 1.0 + age / self.job_time;
                 let fresh = 1.0 / (aged * aged);
                 (usual + (worker.others - usual) * fresh, usual * (1.0 - fresh * fresh))
             }
