Divide the fleet among federations and tenants by weighted max-min in whole parts

The change: crates/shares with the agreement, the division (one level, largest remainder, ties by name), the table and Jain's index.

--- /dev/null
+++ b/crates/shares/src/lib.rs
@@ -0,0 +1,32 @@
+//! Fair shares of federated tenants from usage reports that come late, twice, out of order and with gaps, with no
+//! I/O and no clock: time is an argument.
+//!
+//! ```text
+//!  report ──► Ledger::take ──► windows by event time ──► Ledger::advance ──► Closed ──► Debts
+//!                                      │                                       │          │
+//!                                      └──► Ledger::provisional ──► Usage::measured ◄─────┘
+//!                                                                      │
+//!                              Agreement, Reserved ──► table() ◄───────┘  ──► Table
+//! ```
+//!
+//! 1. The ledger is a function of the *set* of reports that came between two calls of [`Ledger::advance`]: any order
+//!    and any repetition leaves the same bytes. What bounds it (sequences, generations, event time) moves in
+//!    `advance` alone.
+//! 2. What it counted is the sum of what it accepted: windows, adjustments and what was cut add up.
+//! 3. [`table()`] is weighted max-min over federations and then over their tenants, in whole parts in a million.
+//!
+//! Nothing here is a float.
+#![forbid(unsafe_code)]
+
+mod agreement;
+mod fill;
+mod name;
+mod table;
+
+pub use agreement::{Agreement, Federation, Terms, WrongAgreement, WrongWhat};
+pub use fill::{apportion, jain};
+pub use name::{Name, WrongName};
+pub use table::{Reserved, Share, Table, Usage, Use, entitled, table};
+
+/// Shares are parts in so many.
+pub const WHOLE: u32 = 1_000_000;
