--- a/crates/shares/src/account.rs
+++ b/crates/shares/src/account.rs
@@ -1,5 +1,6 @@
 //! What one reporter has told: its starts with their sequences, and its windows.
 use std::collections::{BTreeMap, BTreeSet};
+use std::num::NonZeroU64;
 
 use rangemap::RangeInclusiveSet;
 use serde::{Deserialize, Serialize};
@@ -16,10 +17,14 @@
     /// Its length in milliseconds, over 0.
     length: u32,
     tenant: Name,
-    corrects: Option<u64>,
+    corrects: Option<NonZeroU64>,
 }
 
 impl Body {
+    fn corrects(&self) -> Option<u64> {
+        self.corrects.map(NonZeroU64::get)
+    }
+
     /// The work of each window, by its number. What is done by an instant is rounded down, so that the windows' work
     /// adds up to the whole.
     fn split(&self, window: i64) -> impl Iterator<Item = (i64, u64)> {
@@ -85,8 +90,14 @@
 
     /// Sets the body of a sequence, and hands out what stood before and what stands after.
     fn set(&mut self, sequence: u64, body: Body) -> (Vec<Body>, Vec<Body>) {
-        let before = self.bodies.get(&sequence).and_then(|old| old.corrects);
-        let touched = BTreeSet::from([Some(sequence), before, body.corrects]);
+        let old = self.bodies.get(&sequence);
+        if old.is_none() && body.corrects.is_none() && !self.corrections.contains_key(&sequence) {
+            // By far the most.
+            self.bodies.insert(sequence, body.clone());
+            return (Vec::new(), vec![body]);
+        }
+        let before = old.and_then(Body::corrects);
+        let touched = BTreeSet::from([Some(sequence), before, body.corrects()]);
         let stand = |start: &Start| -> Vec<Body> {
             touched.iter().flatten().filter_map(|&one| start.standing(one).cloned()).collect()
         };
@@ -99,7 +110,7 @@
                 self.corrections.remove(&corrected);
             }
         }
-        if let Some(corrected) = body.corrects {
+        if let Some(corrected) = body.corrects() {
             self.corrections.entry(corrected).or_default().insert(sequence);
         }
         self.bodies.insert(sequence, body);
@@ -131,7 +142,7 @@
     /// nothing that is left can change what was folded away.
     fn fold(&mut self, horizon: i64, settings: &Settings) {
         let old = self.bodies.iter().filter(|(_, body)| body.start < horizon);
-        let old: BTreeSet<u64> = old.map(|(&sequence, body)| body.corrects.unwrap_or(sequence)).collect();
+        let old: BTreeSet<u64> = old.map(|(&sequence, body)| body.corrects().unwrap_or(sequence)).collect();
         for corrected in old {
             // Whether or not it came, its place is taken.
             self.came.insert(corrected..=corrected);
@@ -146,9 +157,19 @@
             }
         }
         let (bodies, groups) = (self.bodies.keys().next(), self.corrections.keys().next());
-        let first = bodies.into_iter().chain(groups).min();
-        // As starts never decrease, what is missing before the first that is kept is older than the horizon.
-        let floor = first.map_or(self.highest(), |first| first - 1).max(self.floor);
+        let first = bodies.into_iter().chain(groups).min().copied();
+        // What came before the first that is kept was folded; what is missing before that is older than the horizon,
+        // as starts never decrease. What is missing after it may still come.
+        let floor = match first {
+            None => self.highest(),
+            Some(first) if first > 1 => self
+                .came
+                .overlapping(1..=first - 1)
+                .next_back()
+                .map_or(0, |range| (*range.end()).min(first - 1)),
+            Some(_) => 0,
+        };
+        let floor = floor.max(self.floor);
         if floor > self.floor {
             let came: u64 = self.came.overlapping(self.floor + 1..=floor).fold(0, |sum, range| {
                 sum + (*range.end()).min(floor) - (*range.start()).max(self.floor + 1) + 1
@@ -241,11 +262,11 @@
         if report.generation < self.oldest {
             return Err(Refused::OldGeneration);
         }
-        let fresh: Vec<u64> =
-            self.starts.iter().filter(|(_, start)| start.fresh).map(|(&generation, _)| generation).collect();
         let new = !self.starts.contains_key(&report.generation);
-        let full = fresh.len() >= settings.starts.into();
-        if new && full && fresh.first().is_some_and(|&first| report.generation < first) {
+        let fresh = || self.starts.iter().filter(|(_, start)| start.fresh).map(|(&generation, _)| generation);
+        // The oldest that gives its place up.
+        let first = if new && fresh().count() >= settings.starts.into() { fresh().next() } else { None };
+        if first.is_some_and(|first| report.generation < first) {
             return Err(Refused::OldGeneration);
         }
         let empty = Start::new(settings);
@@ -258,7 +279,8 @@
             return Err(Refused::FarAhead);
         }
         let length = (report.end - report.start) as u32;
-        let (tenant, corrects) = (report.tenant, report.corrects);
+        let (tenant, corrected) = (report.tenant, report.corrects);
+        let corrects = corrected.and_then(NonZeroU64::new);
         let body = Body { work: report.work, start: report.start, length, tenant, corrects };
         if start.came.contains(&sequence) && old.is_none_or(|old| *old == body) {
             return Ok(Taken::Repeated);
@@ -266,7 +288,7 @@
         if old.is_some_and(|old| *old < body) {
             return Err(Refused::Contradicts);
         }
-        if let Some(corrected) = corrects {
+        if let Some(corrected) = corrected {
             let folded = start.came.contains(&corrected) && !start.bodies.contains_key(&corrected);
             if corrected >= sequence || corrected <= start.floor || folded {
                 return Err(Refused::Corrects);
@@ -277,9 +299,9 @@
             (None, true) => Taken::Late,
             (None, false) => Taken::Counted,
         };
-        if new && full {
+        if let Some(first) = first {
             // Of those that began since the last advance the latest stay, in whatever order they came.
-            self.undo(fresh[0], frame, slots);
+            self.undo(first, frame, slots);
         }
         let start = self.starts.entry(report.generation).or_insert(empty);
         start.came.insert(sequence..=sequence);
--- a/crates/shares/src/ledger.rs
+++ b/crates/shares/src/ledger.rs
@@ -146,6 +146,7 @@
         if open <= self.open {
             return Vec::new();
         }
+        let before = self.horizon();
         let first = std::mem::replace(&mut self.open, open);
         let mut closed: BTreeMap<i64, Closed> = BTreeMap::new();
         for (name, account) in &mut self.accounts {
@@ -174,7 +175,9 @@
             of.without = self.roll.reporters.keys().filter(|name| self.mark(name) < end).cloned().collect();
         }
         let (horizon, roll) = (self.horizon(), &self.roll);
-        self.accounts.values_mut().for_each(|account| account.fold(horizon, &self.settings));
+        if horizon > before {
+            self.accounts.values_mut().for_each(|account| account.fold(horizon, &self.settings));
+        }
         self.accounts.retain(|name, account| roll.reporters.contains_key(name) || !account.is_empty());
         closed.into_values().collect()
     }
@@ -231,9 +234,12 @@
         self.watermark(reporter.as_str()).unwrap_or(i64::MIN)
     }
 
-    /// The first window that is not folded away.
+    /// The first window that is not folded away. It moves by a sixteenth of itself at once, as to fold is to look at
+    /// all that is kept.
     fn horizon(&self) -> i64 {
-        self.open - i64::from(self.settings.horizon / self.settings.window)
+        let windows = i64::from(self.settings.horizon / self.settings.window);
+        let step = (windows / 16).max(1);
+        (self.open - windows).div_euclid(step) * step
     }
 }
 
--- a/crates/shares/src/report.rs
+++ b/crates/shares/src/report.rs
@@ -133,7 +133,7 @@
     /// How long after its end a window waits at most for reporters that are there.
     pub lateness: u32,
     /// How far before the first open window reports still count, as adjustments, and may be corrected; at least the
-    /// window, at most a day. What is older is folded away.
+    /// window, at most a day. What is older by a sixteenth more is folded away.
     pub horizon: u32,
     /// How far clocks may differ: an interval that ends later than this is refused.
     pub skew: u32,
