--- /dev/null
+++ b/crates/calendar/src/lib.rs
@@ -0,0 +1,53 @@
+//! The fleet's calendar of reservations and blackouts, with no I/O and no clock: commands come in from the agreed
+//! log, events and allowances go out, alike on every member.
+//!
+//! ```text
+//!  command ──► Seen (acts once) ──► checks ──► Calendar::apply ──► events, each with its reason
+//!                                                 │  place.rs (what fits, who makes room), life.rs
+//!                                                 ▼
+//!                         index.rs (levels, intervals, edges) ──► allowances(at), next_change(after)
+//! ```
+//!
+//! 1. A claim is proposed, then held or refused, confirmed, active, done; or displaced, withdrawn, lapsed
+//!    (`life.rs`). Repeats by local time become instants when they are proposed (`local.rs`).
+//! 2. Overlaps: a blackout goes over all; what has begun is not displaced by a claim; then precedence; then what
+//!    was confirmed earlier; then the id.
+//! 3. The state is serde and ordered, so that the same log gives the same bytes.
+//!
+//! Who may propose what is for those who write the log. Its rules in full: `docs/design/0004-fleet.md`.
+#![forbid(unsafe_code)]
+
+mod command;
+mod life;
+mod local;
+mod name;
+
+pub use command::{
+    Accepts, Amount, Blackout, Body, Command, Effect, Fault, Interval, Owner, Refusal, Reserve, Target, When,
+};
+pub use life::{Illegal, State, Step};
+pub use local::{Days, Repeat};
+pub use name::{ClaimId, CommandId, Name, NameError};
+
+/// An instant in milliseconds of Unix time, or a span in milliseconds.
+pub type Millis = i64;
+
+/// A minute.
+pub const MINUTE: Millis = 60_000;
+/// An hour.
+pub const HOUR: Millis = 60 * MINUTE;
+/// A day of 24 hours.
+pub const DAY: Millis = 24 * HOUR;
+/// All of a share: parts in a million.
+pub const MILLION: u32 = 1_000_000;
+
+/// No claim reaches further ahead of the instant at which it is proposed.
+pub const HORIZON: Millis = 400 * DAY;
+/// No single interval is longer.
+pub const LONGEST: Millis = 62 * DAY;
+/// No hold is longer.
+pub const LONGEST_HOLD: Millis = 7 * DAY;
+/// The first instant of the year 2200: no command comes later.
+pub const LAST_INSTANT: Millis = 7_258_118_400_000;
+/// Occurrences of one repeat.
+pub const MOST_OCCURRENCES: usize = 512;
--- /dev/null
+++ b/crates/calendar/tests/local.rs
@@ -0,0 +1,133 @@
+//! Repeats by local time through the nights on which the clock changes.
+use copperspread_calendar::*;
+
+/// A local day's interval, by hour and minute.
+type Wall = ((u16, u16), (u16, u16));
+
+fn utc(text: &str) -> Millis {
+    text.parse::<jiff::Timestamp>().expect("an instant").as_millisecond()
+}
+
+fn repeat(zone: &str, days: Days, ((from, from_minute), (to, to_minute)): Wall, span: (&str, &str)) -> When {
+    When::Repeat(Repeat {
+        zone: Name::new(zone).expect("a name"),
+        days,
+        from: from * 60 + from_minute,
+        to: to * 60 + to_minute,
+        first: utc(span.0),
+        until: utc(span.1),
+    })
+}
+
+fn every_day() -> Days {
+    Days::Week((1..=7).collect())
+}
+
+#[test]
+fn on_nights_with_a_change_of_clock_an_interval_has_all_that_its_wall_clock_says() {
+    // Amsterdam puts its clock forward at 01:00Z on 29 March 2026 (02:00 to 03:00) and back at 01:00Z on
+    // 25 October (03:00 to 02:00); Cairo forward at 22:00Z on 23 April (midnight to 01:00 on the 24th) and
+    // back at 21:00Z on 29 October (midnight to 23:00 on the 29th).
+    let (amsterdam, cairo) = ("Europe/Amsterdam", "Africa/Cairo");
+    let spring = ("2026-03-28T12:00:00Z", "2026-03-29T12:00:00Z");
+    let autumn = ("2026-10-24T12:00:00Z", "2026-10-25T12:00:00Z");
+    let cairo_spring = ("2026-04-23T12:00:00Z", "2026-04-24T12:00:00Z");
+    let cairo_autumn = ("2026-10-29T12:00:00Z", "2026-10-30T12:00:00Z");
+    let cases: [(&str, (&str, &str), Wall, Option<(&str, &str)>); 17] = [
+        (amsterdam, spring, ((1, 0), (4, 0)), Some(("2026-03-29T00:00:00Z", "2026-03-29T02:00:00Z"))),
+        (amsterdam, spring, ((2, 0), (4, 0)), Some(("2026-03-29T01:00:00Z", "2026-03-29T02:00:00Z"))),
+        (amsterdam, spring, ((2, 30), (4, 0)), Some(("2026-03-29T01:00:00Z", "2026-03-29T02:00:00Z"))),
+        (amsterdam, spring, ((1, 0), (2, 30)), Some(("2026-03-29T00:00:00Z", "2026-03-29T01:00:00Z"))),
+        (amsterdam, spring, ((2, 10), (2, 50)), None),
+        (amsterdam, spring, ((22, 0), (6, 0)), Some(("2026-03-28T21:00:00Z", "2026-03-29T04:00:00Z"))),
+        (amsterdam, autumn, ((2, 0), (3, 0)), Some(("2026-10-25T00:00:00Z", "2026-10-25T02:00:00Z"))),
+        (amsterdam, autumn, ((2, 30), (2, 45)), Some(("2026-10-25T00:30:00Z", "2026-10-25T01:45:00Z"))),
+        (amsterdam, autumn, ((3, 0), (4, 0)), Some(("2026-10-25T02:00:00Z", "2026-10-25T03:00:00Z"))),
+        (amsterdam, autumn, ((22, 0), (6, 0)), Some(("2026-10-24T20:00:00Z", "2026-10-25T05:00:00Z"))),
+        (cairo, cairo_spring, ((0, 0), (2, 0)), Some(("2026-04-23T22:00:00Z", "2026-04-23T23:00:00Z"))),
+        (cairo, cairo_spring, ((0, 10), (0, 50)), None),
+        (cairo, cairo_spring, ((23, 0), (24, 0)), Some(("2026-04-23T21:00:00Z", "2026-04-23T22:00:00Z"))),
+        (cairo, cairo_spring, ((22, 0), (0, 30)), Some(("2026-04-23T20:00:00Z", "2026-04-23T22:00:00Z"))),
+        (cairo, cairo_autumn, ((23, 0), (24, 0)), Some(("2026-10-29T20:00:00Z", "2026-10-29T22:00:00Z"))),
+        (cairo, cairo_autumn, ((23, 30), (0, 30)), Some(("2026-10-29T20:30:00Z", "2026-10-29T22:30:00Z"))),
+        (cairo, cairo_autumn, ((22, 0), (23, 30)), Some(("2026-10-29T19:00:00Z", "2026-10-29T21:30:00Z"))),
+    ];
+    for (zone, span, wall, expected) in cases {
+        let found = repeat(zone, every_day(), wall, span).intervals(utc(span.0));
+        let expected = match expected {
+            Some((start, end)) => Ok(vec![Interval { start: utc(start), end: utc(end) }]),
+            None => Err(Refusal { field: "when".into(), fault: Fault::Empty }),
+        };
+        assert_eq!(found, expected, "{zone} {span:?} {wall:?}");
+    }
+}
+
+#[test]
+fn a_day_round_the_clock_never_overlaps_the_next_through_an_hour_that_comes_twice() {
+    let span = ("2026-10-22T00:00:00Z", "2026-10-28T12:00:00Z");
+    let found = repeat("Europe/Amsterdam", every_day(), ((2, 30), (2, 30)), span).intervals(utc(span.0));
+    let found = found.expect("good");
+    assert_eq!(found.len(), 6);
+    assert!(found.windows(2).all(|two| two[0].end == two[1].start), "{found:?}");
+    assert_eq!(found[2].length(), 25 * HOUR, "from 02:30 of the 24th to the second of the 25th");
+    assert_eq!(found[3].length(), 24 * HOUR);
+}
+
+#[test]
+fn days_of_the_month_count_from_both_ends_and_are_skipped_where_they_do_not_exist() {
+    let span = ("2026-01-15T00:00:00Z", "2026-06-15T00:00:00Z");
+    for (days, expected) in [
+        (vec![-1], vec!["2026-01-31", "2026-02-28", "2026-03-31", "2026-04-30", "2026-05-31"]),
+        (vec![30], vec!["2026-01-30", "2026-03-30", "2026-04-30", "2026-05-30"]),
+        (
+            vec![30, -2],
+            vec!["2026-01-30", "2026-02-27", "2026-03-30", "2026-04-29", "2026-04-30", "2026-05-30"],
+        ),
+        (vec![-31], vec!["2026-03-01", "2026-05-01"]),
+    ] {
+        let when = repeat("UTC", Days::Month(days.iter().copied().collect()), ((8, 0), (9, 0)), span);
+        let starts: Vec<_> =
+            when.intervals(utc(span.0)).expect("good").iter().map(|each| each.start).collect();
+        let expected: Vec<_> = expected.iter().map(|day| utc(&format!("{day}T08:00:00Z"))).collect();
+        assert_eq!(starts, expected, "{days:?}");
+    }
+}
+
+#[test]
+fn what_is_out_of_bounds_is_refused_with_its_field() {
+    let now = utc("2026-01-01T00:00:00Z");
+    let good = || Repeat {
+        zone: Name::new("UTC").expect("a name"),
+        days: Days::Week([1].into()),
+        from: 480,
+        to: 540,
+        first: now,
+        until: now + 30 * DAY,
+    };
+    let once = |start, end| When::Once(Interval { start, end });
+    let range = |least, most| Fault::Range { least, most };
+    let cases = [
+        (once(now + 2, now + 1), "when.end", Fault::Empty),
+        (once(now - 2, now), "when.end", Fault::Past),
+        (once(now, now + LONGEST + 1), "when.end", range(now + 1, now + LONGEST)),
+        (once(i64::MIN, i64::MAX), "when.start", range(0, now + HORIZON)),
+        (once(now, i64::MAX), "when.end", range(0, now + HORIZON)),
+        (
+            When::Repeat(Repeat { zone: Name::new("Mars/Base").expect("a name"), ..good() }),
+            "when.zone",
+            Fault::Unknown,
+        ),
+        (When::Repeat(Repeat { from: 1_440, ..good() }), "when.from", range(0, 1_439)),
+        (When::Repeat(Repeat { to: 1_441, ..good() }), "when.to", range(0, 1_440)),
+        (When::Repeat(Repeat { until: now, ..good() }), "when.until", Fault::Empty),
+        (When::Repeat(Repeat { until: i64::MAX, ..good() }), "when.until", range(0, now + HORIZON)),
+        (When::Repeat(Repeat { days: Days::Week([8].into()), ..good() }), "when.days.week", range(1, 7)),
+        (When::Repeat(Repeat { days: Days::Month([0].into()), ..good() }), "when.days.month", range(-31, 31)),
+        (When::Repeat(Repeat { days: Days::Month([].into()), ..good() }), "when.days.month", Fault::Empty),
+    ];
+    for (when, field, fault) in cases {
+        let expected = Err(Refusal { field: field.into(), fault });
+        assert_eq!(when.intervals(now), expected, "{when:?}");
+    }
+    assert_eq!(When::Repeat(good()).intervals(now).map(|found| found.len()), Ok(4));
+}
