Resolve the calendar's overlaps by stated rules, with the least displacement

Change: the state machine over the agreed log (ids that act once, holds, displacement at confirmation with notice, blackouts, capacity), the search for what fits, allowances and next change over interval trees and sorted edges.

--- /dev/null
+++ b/crates/calendar/benches/calendar.rs
@@ -0,0 +1,120 @@
+//! What 100,000 claims cost: one more, a look-up, the next change, the whole resolved anew, the whole replayed.
+//! Run it with `cargo bench -p copperspread-calendar`.
+use copperspread_calendar::*;
+use divan::{Bencher, black_box};
+
+const CLAIMS: [u64; 3] = [1_000, 10_000, 100_000];
+/// Pools that share them.
+const POOLS: u64 = 50;
+const START: Millis = 1_796_601_600_000;
+const SLOTS: u32 = 4_000;
+
+fn main() {
+    divan::main();
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn command(member: &str, sequence: u64, body: Body) -> Command {
+    Command { id: CommandId { member: name(member), generation: 1, sequence }, body }
+}
+
+fn capacity(sequence: u64, pool: u64, slots: u32) -> Command {
+    command(
+        "pools",
+        sequence,
+        Body::Capacity { pool: name(&format!("pool-{pool}")), zone: name("north"), slots },
+    )
+}
+
+/// Claims of 1 to 48 hours spread over a year and the pools; some accept less.
+fn claim(number: u64, precedence: u32) -> Command {
+    let mut random = fastrand::Rng::with_seed(number);
+    let start = START + random.i64(2 * HOUR..390 * DAY);
+    let interval = Interval { start, end: start + random.i64(HOUR..48 * HOUR) };
+    let accepts = Accepts { partial: (number % 4 == 0).then_some(1), split: number % 8 == 0 };
+    let reserve = Reserve {
+        owner: Owner::Tenant(name(&format!("tenant-{}", number % 200))),
+        pool: name(&format!("pool-{}", number % POOLS)),
+        amount: Amount::Slots(random.u32(1..=40)),
+        when: When::Once(interval),
+        precedence,
+        accepts,
+        give_back: 10_000,
+        hold_end: START + DAY,
+    };
+    command("claims", number, Body::Reserve(reserve))
+}
+
+fn log(claims: u64) -> Vec<Command> {
+    let pools = (0..POOLS).map(|pool| capacity(pool + 1, pool, SLOTS));
+    let confirmed = (1..=claims).flat_map(|number| {
+        let made = claim(number, 1);
+        let confirm = command("confirms", number, Body::Confirm(made.id.clone()));
+        [made, confirm]
+    });
+    pools.chain(confirmed).collect()
+}
+
+fn calendar(claims: u64) -> Calendar {
+    let mut calendar = Calendar::new(Settings::default()).expect("good settings");
+    for command in log(claims) {
+        calendar.apply(START, &command);
+    }
+    calendar
+}
+
+#[divan::bench(args = CLAIMS)]
+fn one_more_claim(bencher: Bencher<'_, '_>, claims: u64) {
+    let mut calendar = calendar(claims);
+    let mut number = claims;
+    bencher.bench_local(|| {
+        number += 1;
+        black_box(calendar.apply(START, &claim(number, 2)));
+        calendar.apply(START, &command("withdraws", number, Body::Withdraw(claim(number, 2).id)))
+    });
+}
+
+#[divan::bench(args = CLAIMS)]
+fn allowances(bencher: Bencher<'_, '_>, claims: u64) {
+    let calendar = calendar(claims);
+    let mut at = START;
+    bencher.bench_local(|| {
+        at = START + (at - START + 7 * HOUR) % (390 * DAY);
+        calendar.allowances(black_box(at))
+    });
+}
+
+#[divan::bench(args = CLAIMS)]
+fn next_change(bencher: Bencher<'_, '_>, claims: u64) {
+    let calendar = calendar(claims);
+    let mut at = START;
+    bencher.bench_local(|| {
+        at = START + (at - START + 7 * HOUR) % (390 * DAY);
+        calendar.next_change(black_box(at))
+    });
+}
+
+/// All pools lose slots at once, so that what is too much goes by rank, each with its nearest offer.
+#[divan::bench(args = CLAIMS, sample_count = 3, sample_size = 1)]
+fn the_whole_resolved(bencher: Bencher<'_, '_>, claims: u64) {
+    let calendar = calendar(claims);
+    bencher.with_inputs(|| calendar.clone()).bench_local_values(|mut calendar| {
+        for pool in 0..POOLS {
+            calendar.apply(START, &capacity(POOLS + 1 + pool, pool, 60));
+        }
+        calendar
+    });
+}
+
+#[divan::bench(args = CLAIMS, sample_count = 3, sample_size = 1)]
+fn the_whole_replayed(bencher: Bencher<'_, '_>, claims: u64) {
+    let log = log(claims);
+    bencher.bench_local(|| {
+        let mut calendar = Calendar::new(Settings::default()).expect("good settings");
+        log.iter().for_each(|command| drop(calendar.apply(START, command)));
+        calendar
+    });
+}
--- a/crates/calendar/src/lib.rs
+++ b/crates/calendar/src/lib.rs
@@ -17,14 +17,23 @@
 //! Who may propose what is for those who write the log. Its rules in full: `docs/design/0004-fleet.md`.
 #![forbid(unsafe_code)]
 
+mod allowances;
+mod calendar;
 mod command;
+mod event;
+mod index;
 mod life;
 mod local;
 mod name;
+mod place;
+mod seen;
 
+pub use allowances::{AHEAD, Ahead, Allowances, BlackedOut, PoolAllowance, Reserved, lent};
+pub use calendar::{Calendar, Settings, SettingsError};
 pub use command::{
     Accepts, Amount, Blackout, Body, Command, Effect, Fault, Interval, Owner, Refusal, Reserve, Target, When,
 };
+pub use event::{Change, Event, Piece, Reason};
 pub use life::{Illegal, State, Step};
 pub use local::{Days, Repeat};
 pub use name::{ClaimId, CommandId, Name, NameError};
@@ -49,5 +58,13 @@
 pub const LONGEST_HOLD: Millis = 7 * DAY;
 /// The first instant of the year 2200: no command comes later.
 pub const LAST_INSTANT: Millis = 7_258_118_400_000;
+/// Claims in the calendar, with those that are over and not yet forgotten.
+pub const MOST_CLAIMS: usize = 200_000;
+/// Occurrences of all claims.
+pub const MOST_IN_ALL: usize = 1_000_000;
+/// Pools.
+pub const MOST_POOLS: usize = 1_024;
+/// A claim that is over is forgotten after so long.
+pub const REMEMBERED: Millis = DAY;
 /// Occurrences of one repeat.
 pub const MOST_OCCURRENCES: usize = 512;
--- /dev/null
+++ b/crates/calendar/src/place.rs
@@ -0,0 +1,215 @@
+//! What of a claim fits, and whom it displaces for that: a pure search.
+//!
+//! 1. What is granted is the most that fits if every candidate made room: all of it, or else what it accepts.
+//! 2. For that the least is displaced: the fewest slot-milliseconds, then the fewest occurrences, then those
+//!    that come last in rank.
+//!
+//! The search is exact up to [`NODES`] steps among [`MOST_CANDIDATES`]; beyond, the best that it found stands.
+use crate::{Accepts, Interval, Piece};
+
+/// Steps of the search for the least displacement.
+const NODES: u32 = 20_000;
+/// With more candidates than this only the first cover is taken, thinned out.
+const MOST_CANDIDATES: usize = 256;
+
+/// A stretch within which nothing changes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stretch {
+    pub(crate) interval: Interval,
+    /// Slots that nobody has; under 0 where slots went.
+    pub(crate) free: i64,
+    /// Under a blackout: nothing is granted.
+    pub(crate) blocked: bool,
+}
+
+/// An occurrence that may be displaced.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    /// What it has in all.
+    pub(crate) cost: u64,
+    /// From a stretch to before another it has so many slots.
+    pub(crate) takes: Vec<(usize, usize, i64)>,
+}
+
+/// What is granted, and the candidates that make room, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Plan {
+    pub(crate) pieces: Vec<Piece>,
+    pub(crate) victims: Vec<usize>,
+    pub(crate) whole: bool,
+}
+
+/// Plans a claim for `slots` over the stretches. Candidates come in order: those that make room first are first.
+///
+/// # Errors
+/// The first stretch in which it does not fit.
+pub(crate) fn plan(
+    slots: u32,
+    accepts: Accepts,
+    stretches: &[Stretch],
+    candidates: &[Candidate],
+) -> Result<Plan, Interval> {
+    let mut most: Vec<i64> =
+        stretches.iter().map(|each| if each.blocked { 0 } else { each.free.max(i64::MIN / 4) }).collect();
+    for &(from, to, has) in candidates.iter().flat_map(|each| &each.takes) {
+        for index in from..to {
+            most[index] += if stretches[index].blocked { 0 } else { has };
+        }
+    }
+    let (wanted, whole) = target(slots, accepts, stretches, &most)?;
+    let mut need: Vec<i64> = stretches
+        .iter()
+        .zip(&wanted)
+        .map(|(stretch, &wanted)| if wanted == 0 { 0 } else { wanted - stretch.free })
+        .collect();
+    let victims = if need.iter().all(|&each| each <= 0) { Vec::new() } else { cover(&mut need, candidates) };
+    Ok(Plan { pieces: pieces(stretches, &wanted), victims, whole })
+}
+
+/// The slots granted in each stretch, and whether that is all.
+fn target(
+    slots: u32,
+    accepts: Accepts,
+    stretches: &[Stretch],
+    most: &[i64],
+) -> Result<(Vec<i64>, bool), Interval> {
+    let slots = i64::from(slots);
+    let Some(blocked) = most.iter().position(|&each| each < slots) else {
+        return Ok((vec![slots; most.len()], true));
+    };
+    let least = accepts.partial.map(|least| i64::from(least).min(slots));
+    let wanted: Vec<i64> = match (least, accepts.split) {
+        (None, false) => Vec::new(),
+        (None, true) => most.iter().map(|&each| if each >= slots { slots } else { 0 }).collect(),
+        (Some(least), false) => {
+            let level = most.iter().copied().min().unwrap_or(0).min(slots);
+            if level >= least { vec![level; most.len()] } else { Vec::new() }
+        }
+        (Some(least), true) => {
+            most.iter().map(|&each| if each >= least { each.min(slots) } else { 0 }).collect()
+        }
+    };
+    if wanted.iter().any(|&each| each > 0) { Ok((wanted, false)) } else { Err(stretches[blocked].interval) }
+}
+
+fn pieces(stretches: &[Stretch], wanted: &[i64]) -> Vec<Piece> {
+    let mut found: Vec<Piece> = Vec::new();
+    for (stretch, &wanted) in stretches.iter().zip(wanted) {
+        let slots = u32::try_from(wanted).unwrap_or(0);
+        match found.last_mut() {
+            Some(last) if last.slots == slots && last.interval.end == stretch.interval.start => {
+                last.interval.end = stretch.interval.end;
+            }
+            _ if slots == 0 => {}
+            _ => found.push(Piece { interval: stretch.interval, slots }),
+        }
+    }
+    found
+}
+
+/// The candidates whose displacement covers all need at the least cost.
+fn cover(need: &mut [i64], candidates: &[Candidate]) -> Vec<usize> {
+    let mut by_stretch: Vec<Vec<usize>> = vec![Vec::new(); need.len()];
+    for (index, candidate) in candidates.iter().enumerate() {
+        for &(from, to, _) in &candidate.takes {
+            for stretch in (from..to).filter(|&stretch| need[stretch] > 0) {
+                by_stretch[stretch].push(index);
+            }
+        }
+    }
+    let first = first_cover(need, candidates, &by_stretch);
+    if candidates.len() > MOST_CANDIDATES {
+        return first;
+    }
+    let cost = first.iter().map(|&each| candidates[each].cost).sum();
+    let mut search = Search {
+        candidates,
+        by_stretch: &by_stretch,
+        need,
+        decided: vec![false; candidates.len()],
+        chosen: Vec::new(),
+        best: (cost, first),
+        nodes: 0,
+    };
+    search.step(0);
+    search.best.1
+}
+
+fn change(need: &mut [i64], candidate: &Candidate, sign: i64) {
+    for &(from, to, has) in &candidate.takes {
+        need[from..to].iter_mut().for_each(|each| *each += sign * has);
+    }
+}
+
+/// In the order of time whoever comes first, then without those that turned out not to be needed.
+fn first_cover(need: &[i64], candidates: &[Candidate], by_stretch: &[Vec<usize>]) -> Vec<usize> {
+    let mut need = need.to_vec();
+    let mut taken = vec![false; candidates.len()];
+    for stretch in 0..need.len() {
+        for &index in &by_stretch[stretch] {
+            if need[stretch] > 0 && !taken[index] {
+                taken[index] = true;
+                change(&mut need, &candidates[index], -1);
+            }
+        }
+    }
+    let mut chosen: Vec<usize> = (0..candidates.len()).filter(|&index| taken[index]).collect();
+    for index in chosen.clone().into_iter().rev() {
+        let needed = candidates[index]
+            .takes
+            .iter()
+            .any(|&(from, to, has)| need[from..to].iter().any(|&each| each + has > 0));
+        if !needed {
+            change(&mut need, &candidates[index], 1);
+            chosen.retain(|&each| each != index);
+        }
+    }
+    chosen
+}
+
+struct Search<'a> {
+    candidates: &'a [Candidate],
+    by_stretch: &'a [Vec<usize>],
+    need: &'a mut [i64],
+    /// Chosen, or left out on this branch.
+    decided: Vec<bool>,
+    chosen: Vec<usize>,
+    best: (u64, Vec<usize>),
+    nodes: u32,
+}
+
+impl Search<'_> {
+    fn step(&mut self, cost: u64) {
+        self.nodes += 1;
+        let Some(stretch) = self.need.iter().position(|&each| each > 0) else {
+            let mut victims = self.chosen.clone();
+            victims.sort_unstable();
+            let (best_cost, best) = &self.best;
+            if (cost, victims.len(), &victims) < (*best_cost, best.len(), best) {
+                self.best = (cost, victims);
+            }
+            return;
+        };
+        let (candidates, by_stretch) = (self.candidates, self.by_stretch);
+        let mut left_out = Vec::new();
+        for &index in &by_stretch[stretch] {
+            if self.decided[index] {
+                continue;
+            }
+            self.decided[index] = true;
+            left_out.push(index);
+            let next = cost.saturating_add(candidates[index].cost);
+            // Guards against a search without end: what it has found is a cover, if not the least.
+            if (next, self.chosen.len() + 1) <= (self.best.0, self.best.1.len()) && self.nodes < NODES {
+                self.chosen.push(index);
+                change(self.need, &candidates[index], -1);
+                self.step(next);
+                change(self.need, &candidates[index], 1);
+                self.chosen.pop();
+            }
+        }
+        for index in left_out {
+            self.decided[index] = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/calendar/tests/replay.rs
@@ -0,0 +1,132 @@
+//! The same log gives the same bytes, whatever is said twice, and from any snapshot on.
+mod common;
+
+use common::*;
+use copperspread_calendar::*;
+
+/// A log with all kinds of commands, some of which are refused.
+fn entries(seed: u64) -> Vec<(Millis, Command)> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut log = Log::new(HOUR, 20);
+    let mut claims = Vec::new();
+    for _ in 0..400 {
+        log.at += random.i64(0..HOUR);
+        let start = log.at + random.i64(-2..30) * HOUR;
+        let span = Interval { start, end: start + random.i64(0..12) * HOUR };
+        let accepts = Accepts { partial: random.bool().then_some(2), split: random.bool() };
+        let hold_end = log.at + random.i64(1..20) * HOUR;
+        let body = match random.u32(0..10) {
+            0..=4 => {
+                let amount = match random.bool() {
+                    true => Amount::Slots(random.u32(0..15)),
+                    false => Amount::Parts(random.u32(0..700_000)),
+                };
+                let reserve = reserve(0, span, random.u32(0..4), accepts);
+                Body::Reserve(Reserve { amount, hold_end, ..reserve })
+            }
+            5..=7 if !claims.is_empty() => {
+                let claim: ClaimId = random.choice(&claims).cloned().expect("some");
+                if random.u32(0..5) == 0 { Body::Withdraw(claim) } else { Body::Confirm(claim) }
+            }
+            8 => {
+                let target = Target::Tenant(name(if random.bool() { "food" } else { "shelter" }));
+                Body::Blackout(Blackout { hold_end, ..blackout(target, Effect::NoWork, span) })
+            }
+            _ => Body::Capacity { pool: name("cpu"), zone: name("north"), slots: random.u32(10..30) },
+        };
+        let claim = matches!(body, Body::Reserve(_) | Body::Blackout(_));
+        let id = log.put(body);
+        if claim {
+            claims.push(id);
+        }
+    }
+    log.entries
+}
+
+fn bytes(calendar: &Calendar) -> String {
+    serde_json::to_string(calendar).expect("text")
+}
+
+#[test]
+fn a_log_replayed_gives_the_same_events_and_bytes_though_every_command_comes_again() {
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..4 {
+        let entries = entries(seed);
+        let new = || Calendar::new(Settings { notice: HOUR }).expect("good settings");
+        let (mut once, mut twice, mut restored) = (new(), new(), new());
+        for (index, (at, command)) in entries.iter().enumerate() {
+            let events = once.apply(*at, command);
+            assert_eq!(twice.apply(*at, command), events);
+            assert_eq!(twice.apply(*at, command), [], "the second does nothing");
+            let (earlier, again) = &entries[index.saturating_sub(100)];
+            assert_eq!(twice.apply(*earlier, again), [], "nor does an old one");
+            if index % 10 == 0 {
+                restored = serde_json::from_str(&bytes(&restored)).expect("a snapshot");
+            }
+            assert_eq!(restored.apply(*at, command), events);
+            for event in &events {
+                match &event.change {
+                    Change::Moved { to, .. } => kinds.insert(format!("{to:?}")),
+                    Change::Rejected(_) => kinds.insert("rejected".into()),
+                    _ => false,
+                };
+            }
+        }
+        assert_eq!(bytes(&twice), bytes(&once));
+        assert_eq!(bytes(&restored), bytes(&once));
+        for at in entries.iter().map(|(at, _)| *at) {
+            assert_eq!(restored.allowances(at), once.allowances(at));
+            assert_eq!(restored.next_change(at), once.next_change(at));
+        }
+    }
+    assert_eq!(kinds.len(), 10, "the logs had every state, and refusals: {kinds:?}");
+}
+
+#[test]
+fn what_is_granted_never_exceeds_the_pool_and_keeps_clear_of_blackouts() {
+    for seed in 100..104 {
+        let mut calendar = Calendar::new(Settings { notice: HOUR }).expect("good settings");
+        for (at, command) in entries(seed) {
+            calendar.apply(at, &command);
+            let mut next = Some(calendar.now());
+            while let Some(now) = next {
+                let allowances = calendar.allowances(now);
+                let cpu = &allowances.pools[&name("cpu")];
+                let reserved: u32 = cpu.reserved.iter().map(|each| each.slots).sum();
+                assert_eq!(reserved + cpu.open, cpu.slots, "at {now}");
+                let food = allowances.tenants.get(&name("food"));
+                if food.is_some_and(|food| food.no_new_work_until.is_some()) {
+                    assert_eq!(reserved, 0, "all are food's");
+                }
+                next = calendar.next_change(now);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_entry_out_of_time_or_from_an_earlier_start_changes_nothing() {
+    let mut log = Log::new(HOUR, 10);
+    let before = bytes(&log.calendar);
+    for at in [-1, LAST_INSTANT + 1, i64::MIN, i64::MAX] {
+        let events = log.calendar.apply(at, &Command { id: id(9), body: Body::Advance });
+        assert!(
+            matches!(&events[..], [Event { change: Change::Rejected(refusal), .. }] if refusal.field == "at")
+        );
+    }
+    let old = CommandId { generation: 0, ..id(9) };
+    let events = log.calendar.apply(START, &Command { id: old, body: Body::Advance });
+    assert!(matches!(&events[..], [Event { change: Change::Rejected(refusal), .. }]
+        if refusal.fault == Fault::TooOld));
+    assert_eq!(bytes(&log.calendar), before);
+}
+
+#[test]
+fn names_out_of_bounds_are_not_read() {
+    for (text, good) in
+        [("a", true), (&"a".repeat(64), true), (&"a".repeat(65), false), ("", false), ("a\n", false)]
+    {
+        let json = serde_json::to_string(text).expect("text");
+        assert_eq!(serde_json::from_str::<Name>(&json).is_ok(), good, "{text:?}");
+    }
+}
