Ask nobody for room where all of a calendar's claim is free, and test its offers

A claim for which all is free still looked through all whom it might displace, and each step of a claim's life took its places out of the index and put them in again. The choice between two offers equally near had no test.

Change. calendar.rs first plans with nobody displaced; index.rs parts what is kept of a pool from what changes allowances, so that a step that keeps its place touches the latter only. Candidates of the same precedence or a higher one are left out before they are looked up. tests/overlaps.rs: seven rows of offers.

--- a/crates/calendar/src/calendar.rs
+++ b/crates/calendar/src/calendar.rs
@@ -85,7 +85,7 @@
     }
 
     /// When it acts.
-    fn spans(&self) -> impl DoubleEndedIterator<Item = Interval> {
+    pub(crate) fn spans(&self) -> impl DoubleEndedIterator<Item = Interval> {
         let blackout = matches!(self.wanted, Wanted::Blackout(_));
         let whole = self.occurrences.iter().filter(move |_| blackout).map(|each| each.interval);
         whole.chain(self.occurrences.iter().flat_map(|each| each.pieces.iter().map(|piece| piece.interval)))
@@ -281,13 +281,18 @@
         let from = self.state_of(id).ok_or(Refusal::of(field, Fault::Unknown))?;
         let to = from.after(step).map_err(|illegal| Refusal::of(field, Fault::Life(illegal)))?;
         let now = self.state.now;
-        self.edit(id, |claim| {
+        let change = |claim: &mut Claim| {
             // A hold's rank is that of its beginning.
             if matches!(step, Step::Hold | Step::Confirm) && from == State::Proposed {
                 claim.since = now;
             }
             (claim.state, claim.moved) = (to, now);
-        });
+        };
+        if from.keeps_place() != to.keeps_place() {
+            self.edit(id, change);
+        } else if let Some(claim) = self.state.claims.get_mut(id) {
+            self.index.restate(id, claim, change);
+        }
         told.tell(Change::Moved { claim: id.clone(), from: Some(from), to, why });
         Ok(to)
     }
@@ -425,6 +430,12 @@
         let mut placed = Placed { pieces: Vec::new(), victims: Vec::new(), whole: true };
         let mut first_blocked = None;
         for occurrence in &claim.occurrences {
+            // Where all of it is free nobody need be asked.
+            let stretches = self.stretches(reserve, occurrence.interval, &[], &placed.victims);
+            if let Ok(Plan { pieces, .. }) = plan(claim.slots, Accepts::default(), &stretches, &[]) {
+                placed.pieces.push(pieces);
+                continue;
+            }
             let candidates = self.candidates(reserve, occurrence.interval, &placed.victims);
             let stretches = self.stretches(reserve, occurrence.interval, &candidates, &placed.victims);
             let keys: Vec<_> = candidates.iter().map(|(key, _)| key.clone()).collect();
@@ -458,15 +469,18 @@
     /// Occurrences that a claim may displace, those that make room first first, with what they have.
     fn candidates(&self, reserve: &Reserve, interval: Interval, but: &[Key]) -> Vec<(Key, &Occurrence)> {
         let soonest = self.state.now.saturating_add(self.state.settings.notice).max(self.state.now + 1);
-        let keys = self.index.pools.get(&reserve.pool).into_iter();
-        let keys: BTreeSet<&Key> =
-            keys.flat_map(|pool| over(&pool.pieces, interval)).map(|(_, key)| key).collect();
         let but: BTreeSet<&Key> = but.iter().collect();
+        let lower = |(id, _): &Key| {
+            let theirs = self.state.claims.get(id).and_then(Claim::reserve);
+            theirs.is_some_and(|theirs| theirs.precedence < reserve.precedence)
+        };
+        let pieces = self.index.pools.get(&reserve.pool).map(|pool| over(&pool.pieces, interval));
+        let keys = pieces.into_iter().flatten().map(|(_, key)| key);
+        let keys: BTreeSet<&Key> = keys.filter(|key| lower(key) && !but.contains(key)).collect();
         let mut found: Vec<(Rank, &Occurrence)> = Vec::new();
-        for key in keys.into_iter().filter(|key| !but.contains(key)) {
+        for key in keys {
             let Some((claim, occurrence)) = self.occurrence(key) else { continue };
-            let lower = claim.reserve().is_some_and(|theirs| theirs.precedence < reserve.precedence);
-            if lower && occurrence.interval.start >= soonest {
+            if occurrence.interval.start >= soonest {
                 found.push((self.rank(key, claim, occurrence), occurrence));
             }
         }
--- a/crates/calendar/src/index.rs
+++ b/crates/calendar/src/index.rs
@@ -87,57 +87,75 @@
         if let Some(due) = claim.next_due() {
             self.due.insert((due, id.clone()));
         }
-        self.each(id, claim, true);
+        self.place(id, claim, true);
+        self.act(claim, id, true);
     }
 
     pub(crate) fn detach(&mut self, id: &ClaimId, claim: &Claim) {
         self.occurrences -= claim.occurrences.len();
-        self.each(id, claim, false);
+        self.place(id, claim, false);
+        self.act(claim, id, false);
     }
 
-    fn each(&mut self, id: &ClaimId, claim: &Claim, add: bool) {
-        let acts = claim.state.acts();
-        match &claim.wanted {
-            Wanted::Reserve(reserve) if claim.state.keeps_place() => {
-                let pool = self.pools.entry(reserve.pool.clone()).or_default();
-                for (number, occurrence) in claim.occurrences.iter().enumerate() {
-                    for piece in occurrence.pieces.iter().filter(|piece| piece.interval.length() > 0) {
-                        let (interval, key) = (piece.interval, (id.clone(), number));
-                        let by = i64::from(piece.slots);
-                        pool.change(interval, if add { by } else { -by });
-                        if add {
-                            pool.pieces.force_insert(interval.start..interval.end, key);
-                        } else {
-                            pool.pieces.remove_where(interval.start..interval.end, |each| *each == key);
-                        }
-                        if acts {
-                            mark(&mut self.edges, interval.start, add);
-                            mark(&mut self.edges, interval.end, add);
-                        }
-                    }
+    /// A step between two states that both keep their place, or both do not.
+    pub(crate) fn restate(&mut self, id: &ClaimId, claim: &mut Claim, step: impl FnOnce(&mut Claim)) {
+        self.act(claim, id, false);
+        step(claim);
+        self.act(claim, id, true);
+        if let Some(due) = claim.next_due() {
+            self.due.insert((due, id.clone()));
+        }
+    }
+
+    /// What is kept of a pool.
+    fn place(&mut self, id: &ClaimId, claim: &Claim, add: bool) {
+        let Wanted::Reserve(reserve) = &claim.wanted else { return };
+        if !claim.state.keeps_place() {
+            return;
+        }
+        let pool = self.pools.entry(reserve.pool.clone()).or_default();
+        for (number, occurrence) in claim.occurrences.iter().enumerate() {
+            for piece in occurrence.pieces.iter().filter(|piece| piece.interval.length() > 0) {
+                let (interval, key) = (piece.interval, (id.clone(), number));
+                let by = i64::from(piece.slots);
+                pool.change(interval, if add { by } else { -by });
+                if add {
+                    pool.pieces.force_insert(interval.start..interval.end, key);
+                } else {
+                    pool.pieces.remove_where(interval.start..interval.end, |each| *each == key);
                 }
             }
-            Wanted::Blackout(blackout) if acts => {
-                let map = self.blackouts.entry(blackout.target.clone()).or_default();
-                for Interval { start, end } in
-                    claim.occurrences.iter().map(|each| each.interval).filter(|each| each.length() > 0)
-                {
-                    if add {
-                        map.force_insert(start..end, id.clone());
-                    } else {
-                        map.remove_where(start..end, |each| each == id);
-                    }
-                    mark(&mut self.edges, start, add);
-                    mark(&mut self.edges, end, add);
-                    if blackout.effect == Effect::NoWork {
-                        mark(&mut self.edges, start.saturating_sub(AHEAD), add);
-                    }
-                }
-                if map.is_empty() {
-                    self.blackouts.remove(&blackout.target);
-                }
+        }
+    }
+
+    /// What changes allowances.
+    fn act(&mut self, claim: &Claim, id: &ClaimId, add: bool) {
+        if !claim.state.acts() {
+            return;
+        }
+        let spans = claim.spans().filter(|span| span.length() > 0);
+        let Wanted::Blackout(blackout) = &claim.wanted else {
+            for Interval { start, end } in spans {
+                mark(&mut self.edges, start, add);
+                mark(&mut self.edges, end, add);
             }
-            _ => {}
+            return;
+        };
+        let map = self.blackouts.entry(blackout.target.clone()).or_default();
+        for Interval { start, end } in spans {
+            if add {
+                map.force_insert(start..end, id.clone());
+            } else {
+                map.remove_where(start..end, |each| each == id);
+            }
+            mark(&mut self.edges, start, add);
+            mark(&mut self.edges, end, add);
+            if blackout.effect == Effect::NoWork {
+                mark(&mut self.edges, start.saturating_sub(AHEAD), add);
+            }
+        }
+        if map.is_empty() {
+            self.blackouts.remove(&blackout.target);
         }
     }
 }
--- a/crates/calendar/tests/overlaps.rs
+++ b/crates/calendar/tests/overlaps.rs
@@ -41,6 +41,28 @@
     assert_eq!(log.state(&again), State::Held);
 }
 
+#[test]
+fn what_does_not_fit_is_offered_the_nearest_interval_that_does_of_two_the_earlier() {
+    // (what is taken of 10 slots) and the offer to one who wants 10 over hours 10 to 12.
+    for (taken, offer) in [
+        (vec![(9, 13)], Some(hours(7, 9))),
+        (vec![(10, 13)], Some(hours(8, 10))),
+        (vec![(9, 12)], Some(hours(12, 14))),
+        (vec![(9, 11)], Some(hours(11, 13))),
+        (vec![(8, 9), (10, 11), (12, 13)], Some(hours(13, 15))),
+        (vec![(1, 11), (12, 13)], Some(hours(13, 15))),
+        (vec![(0, 12), (13, 800)], None),
+    ] {
+        let mut log = Log::new(HOUR, 10);
+        for &(start, end) in &taken {
+            log.confirmed(1, hours(start, end), 0, WHOLE);
+        }
+        let claim = log.propose(10, hours(10, 12), 0, WHOLE);
+        let Reason::Infeasible { offer: found, .. } = log.why(&claim) else { panic!("{taken:?} fits") };
+        assert_eq!(found, offer, "{taken:?}");
+    }
+}
+
 #[test]
 fn precedence_displaces_at_confirmation_and_only_with_notice_and_never_what_has_begun() {
     // (the other's hours, its precedence, notice) and whether it makes room for precedence 5 over hours 0 to 6.
