Give the harness's members ports below those that the system gives out

Its port had come from the system and been let go before the process took it (fleet.rs). Who had it in between was not found; another run of the same tests was under way on the machine.

A fleet claims a block of addresses for itself, so its members take two fixed ports there, under 32,768.

--- a/crates/harness/src/block.rs
+++ b/crates/harness/src/block.rs
@@ -5,6 +5,9 @@
 const CLAIM: u8 = 251;
 /// The claim's port, below those that the system gives out: the same in all blocks, as it is the lock.
 const CLAIM_PORT: u16 = 21_921;
+/// Each member's ports in its block: for clients, and for its peers.
+pub(crate) const LISTEN_PORT: u16 = 21_922;
+pub(crate) const PEERS_PORT: u16 = 21_923;
 /// The number in a block that the relays have.
 const RELAYS: u8 = 250;
 /// Tries to get one port for both protocols.
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -9,7 +9,7 @@
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 
-use crate::block::{Block, both};
+use crate::block::{Block, LISTEN_PORT, PEERS_PORT, both};
 use crate::process::Process;
 use crate::relay::{self, Net};
 use crate::view::{View, Viewer};
@@ -98,9 +98,9 @@
         let place = |number| {
             let (streams, packets, advertise) = both(net.block.relays());
             let own = net.block.member(number);
-            // Free again when these go, and in this block nobody else asks for a port.
-            let (listen, bind) = (both(own), both(own));
-            let (listen, bind) = (listen.2, bind.2);
+            // The block is this fleet's own, and the system gives out higher ports: nobody else has these when
+            // the process starts, or starts again.
+            let (listen, bind) = (SocketAddr::from((own, LISTEN_PORT)), SocketAddr::from((own, PEERS_PORT)));
             runtime.spawn(relay::packets(Arc::clone(&net), number, packets, bind));
             runtime.spawn(relay::streams(Arc::clone(&net), number, streams, bind));
             Place { listen, bind, advertise, process: None, paused: false }
