--- /dev/null
+++ b/crates/agreement/src/settings.rs
@@ -0,0 +1,115 @@
+//! How the members agree, and the bound that follows.
+use crate::{MS, Micros};
+
+/// Parts in a million.
+const MILLION: u64 = 1_000_000;
+/// Ticks of the voters' protocol between two heartbeats, and of an election's shortest wait.
+pub(crate) const HEARTBEAT_TICKS: usize = 4;
+pub(crate) const ELECTION_TICKS: usize = 20;
+
+/// How the members agree. The same on all of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The names of the voters, in the same order everywhere: 3, 5 or 7.
+    pub voters: Vec<String>,
+    /// How long a member acts on a version after it last asked the leader. Over 4 [`Settings::way`].
+    pub lease: Micros,
+    /// A span on one member's clock may be longer or shorter than the true one by this many parts in a
+    /// million; up to 100,000.
+    pub drift: u32,
+    /// A grant whose question was sent longer ago than this counts nothing.
+    pub way: Micros,
+    /// Between two ticks of the voters' protocol; [`crate::Input::Tick`] is wanted as often. Over 0.
+    pub tick: Micros,
+    /// Most bytes of a document.
+    pub most_rules: usize,
+    /// Most versions that are ordered and not yet in force.
+    pub most_waiting: usize,
+    /// Entries that are kept in the log before they are folded into a snapshot.
+    pub most_log: u64,
+}
+
+impl Default for Settings {
+    /// T is 1.998 s: a lease of 1.8 s, clocks within 1 %, 0.18 s for a message; ticks of 20 ms, documents of
+    /// 256 KiB. No voters.
+    fn default() -> Settings {
+        let (lease, way, tick) = (1_800 * MS, 180 * MS, 20 * MS);
+        let (most_rules, most_waiting, most_log) = (256 << 10, 4, 64);
+        Settings { voters: Vec::new(), lease, drift: 10_000, way, tick, most_rules, most_waiting, most_log }
+    }
+}
+
+/// Settings that contradict themselves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(pub &'static str);
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// # Errors
+    /// The first field that does not fit, and why.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let names = self.voters.iter().all(|name| named(name));
+        let mut distinct = self.voters.clone();
+        distinct.sort_unstable();
+        distinct.dedup();
+        let wrong = [
+            (!matches!(self.voters.len(), 3 | 5 | 7), "voters: not 3, 5 or 7"),
+            (!names, "voters: a name is not of 1 to 64 bytes"),
+            (distinct.len() != self.voters.len(), "voters: a name comes twice"),
+            (self.tick == 0, "tick: not above 0"),
+            (self.way < 2 * self.tick, "way: under 2 ticks"),
+            (self.lease / 4 < self.way, "lease: under 4 ways"),
+            (self.lease > 3_600_000 * MS, "lease: over an hour"),
+            (self.drift > 100_000, "drift: over 100,000 parts in a million"),
+            (self.most_rules == 0 || self.most_rules > 1 << 20, "most_rules: not of 1 byte to 1 MiB"),
+            (self.most_waiting == 0 || self.most_waiting > 8, "most_waiting: not 1 to 8"),
+            (self.most_log < 8, "most_log: under 8"),
+        ];
+        wrong.iter().find(|(wrong, _)| *wrong).map_or(Ok(()), |(_, why)| Err(SettingsError(why)))
+    }
+
+    /// T: after this long nobody acts on a version that a newer one has replaced: lease x (1 + drift) + way.
+    pub fn bound(&self) -> Micros {
+        self.stretched(self.lease).saturating_add(self.way)
+    }
+
+    /// How long the leader waits by its own clock until a lease has run out by any clock within the bound:
+    /// lease x (1 + drift)^2.
+    pub fn wait(&self) -> Micros {
+        self.stretched(self.stretched(self.lease))
+    }
+
+    /// Most that a span by one clock can be by another that is off the other way, less the span, in parts in
+    /// a million: for spans that are compared.
+    pub(crate) fn apart(&self) -> u64 {
+        let drift = u64::from(self.drift);
+        2 * drift + (drift * drift).div_ceil(MILLION)
+    }
+
+    fn stretched(&self, span: Micros) -> Micros {
+        let more = (u128::from(span) * u128::from(self.drift)).div_ceil(u128::from(MILLION));
+        span.saturating_add(more as u64)
+    }
+
+    /// How often a member asks for its lease.
+    pub(crate) fn renew(&self) -> Micros {
+        self.lease / 4
+    }
+
+    /// How soon something unanswered is said again.
+    pub(crate) fn retry(&self) -> Micros {
+        self.way
+    }
+}
+
+/// Whether a text may be a name.
+pub(crate) fn named(name: &str) -> bool {
+    (1..=64).contains(&name.len())
+}
