Take out what jobs and workers tell of memory: nothing decides by it

Job::memory and Report::free_memory came for the wait in order and stayed when that went: read by the node, the adapter and the laboratory, and used by nobody.

Both are out of interface.rs and of all that filled them. The laboratory's workers still hold jobs back for want of memory, and clients still send it.

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -285,8 +285,6 @@
     pub tenant: u32,
     /// The slots it takes while it runs; absent is 1.
     pub slots: Option<f64>,
-    /// The units of memory that it takes while it runs, of which a worker has one for each slot; absent is 0.
-    pub memory: Option<f64>,
     /// The hint of its running time on a standard core, in seconds.
     pub cost_hint: Option<f64>,
     /// How long until the client gives up on this try.
@@ -295,15 +293,7 @@
 
 impl Default for Job {
     fn default() -> Self {
-        Job {
-            request: RequestId(0),
-            class: 0,
-            tenant: 0,
-            slots: None,
-            memory: None,
-            cost_hint: None,
-            time_left: SECOND,
-        }
+        Job { request: RequestId(0), class: 0, tenant: 0, slots: None, cost_hint: None, time_left: SECOND }
     }
 }
 
@@ -348,8 +338,6 @@
     pub qps: Option<f64>,
     /// Free slots.
     pub free_slots: Option<f64>,
-    /// Free units of memory.
-    pub free_memory: Option<f64>,
 }
 
 /// The end of one attempt.
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -3,14 +3,8 @@
 use common::*;
 use copperspread_decisions::*;
 
-const IDLE: Report = Report {
-    queue: Some(0.0),
-    inflight: None,
-    util: None,
-    qps: None,
-    free_slots: Some(2.0),
-    free_memory: None,
-};
+const IDLE: Report =
+    Report { queue: Some(0.0), inflight: None, util: None, qps: None, free_slots: Some(2.0) };
 
 fn fleet(count: u32) -> Vec<WorkerEntry> {
     (0..count).map(|i| WorkerEntry { zone: i % 2, ..entry(i) }).collect()
--- a/crates/decisions/tests/gate.rs
+++ b/crates/decisions/tests/gate.rs
@@ -132,14 +132,8 @@
         let odd = Job { cost_hint: figure, slots: figure, ..job(1, 1.0) };
         node.handle(Event::Job(odd));
         assert!(node.sent().is_some(), "{figure:?} is read as 1");
-        let report = Report {
-            queue: figure,
-            inflight: figure,
-            util: figure,
-            qps: figure,
-            free_slots: figure,
-            free_memory: figure,
-        };
+        let report =
+            Report { queue: figure, inflight: figure, util: figure, qps: figure, free_slots: figure };
         node.now += 100 * MS;
         node.report(1, 0, Outcome::Served, Some(report));
         node.job(2, 0.1);
--- a/crates/decisions/tests/learning.rs
+++ b/crates/decisions/tests/learning.rs
@@ -3,14 +3,8 @@
 use common::*;
 use copperspread_decisions::*;
 
-const IDLE: Report = Report {
-    queue: Some(0.0),
-    inflight: None,
-    util: None,
-    qps: None,
-    free_slots: Some(2.0),
-    free_memory: None,
-};
+const IDLE: Report =
+    Report { queue: Some(0.0), inflight: None, util: None, qps: None, free_slots: Some(2.0) };
 
 /// Runs jobs on one worker alone until its rate is known.
 fn teach(node: &mut Node, worker: WorkerEntry, rate: f64, first: u64) {
--- a/crates/decisions/tests/overload.rs
+++ b/crates/decisions/tests/overload.rs
@@ -3,14 +3,8 @@
 use common::*;
 use copperspread_decisions::*;
 
-const CROWDED: Report = Report {
-    queue: Some(8.0),
-    inflight: None,
-    util: None,
-    qps: None,
-    free_slots: Some(0.0),
-    free_memory: None,
-};
+const CROWDED: Report =
+    Report { queue: Some(8.0), inflight: None, util: None, qps: None, free_slots: Some(0.0) };
 
 /// Settings of a cheap class, a dear one, and one tenant of 1 request a second.
 fn two_worths() -> Settings {
--- a/crates/decisions/tests/probes.rs
+++ b/crates/decisions/tests/probes.rs
@@ -3,14 +3,8 @@
 use common::*;
 use copperspread_decisions::*;
 
-const FREE: Report = Report {
-    queue: None,
-    inflight: Some(0.0),
-    util: None,
-    qps: None,
-    free_slots: Some(4.0),
-    free_memory: None,
-};
+const FREE: Report =
+    Report { queue: None, inflight: Some(0.0), util: None, qps: None, free_slots: Some(4.0) };
 
 /// Workers of 4 slots that tell of starts, and of their load when probed.
 fn told(count: u32) -> Node {
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -34,7 +34,6 @@
     #[serde(borrow)]
     params: Option<&'a RawValue>,
     width: Option<f64>,
-    memory: Option<f64>,
     org: Option<u32>,
     category: Option<u32>,
     expires_in_s: Option<f64>,
@@ -71,7 +70,6 @@
     cpu: Option<f64>,
     rps: Option<f64>,
     x0: Option<f64>,
-    x1: Option<f64>,
 }
 
 /// Why a message led to nothing.
@@ -122,14 +120,7 @@
 }
 
 fn report(load: &Load) -> Report {
-    Report {
-        queue: load.waiting,
-        inflight: load.active,
-        util: load.cpu,
-        qps: load.rps,
-        free_slots: load.x0,
-        free_memory: load.x1,
-    }
+    Report { queue: load.waiting, inflight: load.active, util: load.cpu, qps: load.rps, free_slots: load.x0 }
 }
 
 fn timer(cookie: &str) -> Option<Timer> {
@@ -209,7 +200,6 @@
                 class: need(line.category, line, "category")?,
                 tenant: line.org.unwrap_or(0),
                 slots: line.width,
-                memory: line.memory,
                 cost_hint: line.work_s,
                 time_left: micros(need(line.expires_in_s, line, "expires_in_s")?),
             }),
--- a/crates/lab/src/emulate/program.rs
+++ b/crates/lab/src/emulate/program.rs
@@ -123,7 +123,7 @@
         settings["permissions"]["probes"] = true.into();
         settings["penalties"]["probe"] = probe.price.into();
         settings["load_info"] = json!({
-            "how": "pull", "fields": ["qps", "inflight", "x0", "x1"], "period_s": scenario.reports.refresh,
+            "how": "pull", "fields": ["qps", "inflight", "x0"], "period_s": scenario.reports.refresh,
             "delay_s": probe.late, "noise": scenario.reports.noise,
         });
     }
--- a/crates/lab/src/emulate/stage.rs
+++ b/crates/lab/src/emulate/stage.rs
@@ -254,7 +254,6 @@
         ("util", report.util),
         ("qps", report.qps),
         ("inflight", report.inflight),
-        ("x1", report.free_memory),
     ];
     all.into_iter().filter_map(|(name, value)| Some((name, value?)))
 }
--- a/crates/lab/src/emulate/workers.rs
+++ b/crates/lab/src/emulate/workers.rs
@@ -419,8 +419,8 @@
                 "[reports]\nnoise = 0.0\nrefresh = 0.1\nprobe = {{ work = 0.002, deep = {deep}, timeout = 1.0 }}"
             )
         };
-        let idle = Some([("inflight", 0.0), ("x0", 1.0), ("x1", 4.0)]);
-        let busy = Some([("inflight", 1.0), ("x0", 0.0), ("x1", 2.5)]);
+        let idle = Some([("inflight", 0.0), ("x0", 1.0)]);
+        let busy = Some([("inflight", 1.0), ("x0", 0.0)]);
         // Settings, what goes wrong, whether a job runs, the path, and what is heard.
         let cases = [
             (probe(true), "{ slow = 1.0 }", false, "/-/load", 200, idle),
--- a/crates/lab/src/model/worker.rs
+++ b/crates/lab/src/model/worker.rs
@@ -455,13 +455,12 @@
 
     /// Its figures for probes are refreshed, `every` so long; each has its noise, of so many slots.
     pub fn refresh(&mut self, now: Micros, every: Micros, mut noise: impl FnMut() -> f64) {
-        let Build { slots, memory, .. } = self.build;
+        let slots = self.build.slots;
         let came = f64::from(std::mem::take(&mut self.came)) * SECOND as f64 / every.max(1) as f64;
         let report = Report {
             qps: Some((came + noise()).max(0.0)),
             inflight: Some((self.holds() as f64 + noise()).max(0.0)),
             free_slots: Some((slots - self.used + noise()).clamp(0.0, slots)),
-            free_memory: memory.is_finite().then(|| (memory - self.held + noise()).clamp(0.0, memory)),
             ..Report::default()
         };
         self.refreshed.push_back((now, report));
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -635,7 +635,6 @@
             class: asked.of.class,
             tenant: 0,
             slots: Some(asked.of.slots),
-            memory: (asked.of.memory > 0.0).then_some(asked.of.memory),
             cost_hint: asked.of.hint,
             time_left: deadline.saturating_sub(self.now),
         };
--- a/crates/lab/tests/calc.rs
+++ b/crates/lab/tests/calc.rs
@@ -94,9 +94,9 @@
     worker.offer(SECOND / 2, job(1, 3.0, 2.5, 9.0), &mut effects);
     worker.offer(SECOND / 2, job(2, 2.0, 1.0, 9.0), &mut effects);
     worker.refresh(SECOND, SECOND, || 0.0);
-    for (at, late, free) in [(5, 0, [1.0, 1.5, 2.0, 2.0]), (5, 3, [1.0, 1.5, 2.0, 2.0])] {
+    for (at, late, free) in [(5, 0, [1.0, 2.0, 2.0]), (5, 3, [1.0, 2.0, 2.0])] {
         let of = worker.clone().probed(at * SECOND, late * SECOND).expect("a report");
-        let figures = [of.free_slots, of.free_memory, of.inflight, of.qps].map(Option::unwrap_or_default);
+        let figures = [of.free_slots, of.inflight, of.qps].map(Option::unwrap_or_default);
         assert_eq!(figures, free, "at {at} s, {late} s late");
         assert!(of.queue.is_none() && of.util.is_none());
     }
--- a/crates/node/src/back/http.rs
+++ b/crates/node/src/back/http.rs
@@ -106,7 +106,6 @@
         "util" | "cpu" => report.util = Some(value),
         "qps" | "rps" => report.qps = Some(value),
         "x0" => report.free_slots = Some(value),
-        "x1" => report.free_memory = Some(value),
         _ => {}
     }
 }
--- a/crates/node/src/front/http.rs
+++ b/crates/node/src/front/http.rs
@@ -191,7 +191,6 @@
         class,
         tenant: 0,
         slots: text("x-attrs").and_then(|attrs| attribute(attrs, &["width", "slots"])),
-        memory: text("x-attrs").and_then(|attrs| attribute(attrs, &["memory"])),
         cost_hint: hint.map(|micros| micros / SECOND as f64),
         time_left: left.saturating_sub(MARGIN.min(left / 4)),
     };
