Give calendar and shares one kind of name, and two settings' errors one derive

Need. crates/calendar and crates/shares each had a Name with the same rules but one (control characters, which would spoil a log, passed in shares); crates/agreement and crates/cluster wrote out the same error by hand.

Change. crates/names has the one, with its test; both re-export it, and none of the two uses the other. The errors are derived by thiserror, which the workspace has.

--- a/crates/agreement/src/settings.rs
+++ b/crates/agreement/src/settings.rs
@@ -40,17 +40,10 @@
 }
 
 /// Settings that contradict themselves.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
 pub struct SettingsError(pub &'static str);
 
-impl std::fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 impl Settings {
     /// # Errors
     /// The first field that does not fit, and why.
--- a/crates/calendar/src/lib.rs
+++ b/crates/calendar/src/lib.rs
@@ -33,10 +33,11 @@
 pub use command::{
     Accepts, Amount, Blackout, Body, Command, Effect, Fault, Interval, Owner, Refusal, Reserve, Target, When,
 };
+pub use copperspread_names::{Name, NameError};
 pub use event::{Change, Event, Piece, Reason};
 pub use life::{Illegal, State, Step};
 pub use local::{Days, Repeat};
-pub use name::{ClaimId, CommandId, Name, NameError};
+pub use name::{ClaimId, CommandId};
 
 /// An instant in milliseconds of Unix time, or a span in milliseconds.
 pub type Millis = i64;
--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -57,17 +57,10 @@
 }
 
 /// Settings that contradict themselves.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
 pub struct SettingsError(pub &'static str);
 
-impl std::fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 /// What comes in.
 #[derive(Clone, Copy, Debug)]
 pub enum Input<'a> {
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -23,15 +23,14 @@
 mod debt;
 mod fill;
 mod ledger;
-mod name;
 mod report;
 mod table;
 
 pub use agreement::{Agreement, Federation, Terms, WrongAgreement, WrongWhat};
+pub use copperspread_names::{Name, NameError};
 pub use debt::Debts;
 pub use fill::{apportion, jain};
 pub use ledger::{Closed, Heard, Ledger, Missing, Provisional};
-pub use name::{Name, WrongName};
 pub use report::{Refused, Report, Reporter, Roll, Settings, Taken, WrongBounds};
 pub use table::{Reserved, Share, Table, Usage, Use, entitled, table};
 
