See a client go whatever it sent before, and answer what had begun to come at SIGTERM

A request of which a part had come on a resting connection at SIGTERM was cut off by a close. Cause: hyper's server does not read while its buffer holds bytes (mid_message_detect_eof), and graceful_shutdown closes an idle connection whose buffer holds half a head; edge_connection.rs, serve. Ruled out: flow.rs handles the client's going in order, also before its first poll.

Change: the stream is read ahead while a whole request is answered (read_ahead.rs, 8 KiB kept, the rest dropped and the connection closed with the answer); at SIGTERM what the library had read and not used is put back and answered, with a close; before the end, after the last answer, what still stands open is closed with care and the listener with it (assembly.rs, ended; ending.rs, Stage).

--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -139,6 +139,11 @@
     pub async fn job(&mut self, class: &str, id: u64, millis: u64) {
         self.send(&job(class, id, millis)).await;
     }
+    /// Waits for the connection's end; whether it came as a close and not as a reset, and after nothing more.
+    pub async fn ended(&mut self) -> bool {
+        let mut rest = Vec::new();
+        within("an end", self.0.read_to_end(&mut rest)).await.is_ok() && rest.is_empty()
+    }
 }
 
 pub fn job(class: &str, id: u64, millis: u64) -> String {
@@ -233,13 +238,21 @@
     }
     /// The same by a shell's command, with so many descriptors in its configuration.
     pub async fn start_by(command: &str, sockets: u32, known: &[SocketAddr]) -> Scheduler {
+        let limit =
+            move |config: String| config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+        Scheduler::start_so(command, known, limit).await
+    }
+    /// With another configuration than usual.
+    pub async fn start_with(known: &[SocketAddr], config: impl Fn(String) -> String) -> Scheduler {
+        Scheduler::start_so("exec \"$PROGRAM\"", known, config).await
+    }
+    async fn start_so(command: &str, known: &[SocketAddr], changed: impl Fn(String) -> String) -> Scheduler {
         let discovery = Party::new().await;
         let (reserved, address) = reserve();
         let members: Vec<_> = known.iter().enumerate().collect();
         let members: Vec<_> =
             members.iter().map(|(i, at)| member(&format!("r{i}"), **at, "SERVING")).collect();
-        let content = config(address, discovery.address, &list(5, true, &members));
-        let content = content.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+        let content = changed(config(address, discovery.address, &list(5, true, &members)));
         let path = folder().join(format!("copperspread-{}.json", address.port()));
         std::fs::write(&path, content).expect("a configuration");
         let mut start = Command::new("sh");
@@ -282,6 +295,10 @@
     pub async fn terminate(&self) {
         self.signal("TERM").await;
     }
+    /// Waits for a line of the log.
+    pub async fn logs(&mut self, part: &str) {
+        while !self.line().await.contains(part) {}
+    }
     /// Replaces the configuration and sends SIGHUP; returns the lines logged up to the one that
     /// tells what came of it.
     pub async fn reload(&mut self, content: &str) -> Vec<String> {
--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -98,14 +98,21 @@
         Ends { by, latecomers: from_now(LATECOMERS) }
     }
 
-    /// Waits until what was taken is answered or the time for it is over; returns how many requests are
-    /// left. Connections and call-backs are taken until the last.
+    /// Waits until what was taken is answered or the time for it is over, closes what is still open and
+    /// returns how many requests are left. Connections and call-backs are taken until the closing. Guards
+    /// against clients that go on using whatever stays open: what they ask then would be taken and lost.
     pub async fn ended(&self, ends: Ends) -> usize {
-        while Instant::now() < ends.latecomers || (self.edge.busy() > 0 && Instant::now() < ends.by) {
+        self.answered(ends.latecomers, ends.by).await;
+        self.node.ending.close();
+        self.answered(from_now(LAST_WORDS), ends.by).await;
+        self.edge.busy()
+    }
+
+    /// Waits for an instant, and then until nothing is read or answered or the time for it is over.
+    async fn answered(&self, at_least: Instant, by: Instant) {
+        while Instant::now() < at_least || (self.edge.busy() > 0 && Instant::now() < by) {
             sleep_until(from_now(LOOK)).await;
         }
-        sleep_until(from_now(LAST_WORDS)).await;
-        self.edge.busy()
     }
 }
 
--- a/crates/node/src/front/edge_connection.rs
+++ b/crates/node/src/front/edge_connection.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
 use std::time::Duration;
 
 use axum::Router;
@@ -28,8 +29,9 @@
 use tower_service::Service;
 
 use crate::clock::from_now;
-use crate::ending::Ending;
+use crate::ending::{Ending, Stage};
 use crate::front::Front;
+use crate::front::read_ahead::ReadAhead;
 use crate::invariant::note;
 use crate::order::Room;
 
@@ -67,9 +69,16 @@
     /// The body has come by then.
     pub body_by: Instant,
     room: Arc<Semaphore>,
+    whole: Arc<AtomicBool>,
 }
 
 impl Terms {
+    /// The request has come to its last byte: what follows on its connection is no part of it, and its
+    /// client is looked after until the answer.
+    pub fn whole(&self) {
+        self.whole.store(true, Ordering::Relaxed);
+    }
+
     /// Waits for the room of a body of at most so many bytes.
     pub async fn room(&self, size: usize) -> Room {
         if size <= SMALL_BODY {
@@ -86,7 +95,8 @@
     /// Where call-backs come: they are no clients' requests.
     guest_path: &'static str,
     ending: Ending,
-    listener: TcpListener,
+    /// Moves to what takes connections, and closes with it.
+    listener: Mutex<Option<TcpListener>>,
     places: Arc<Places>,
     room: Arc<Semaphore>,
     /// Requests that are being read or answered, and those of clients among them.
@@ -109,6 +119,7 @@
         let room = ((memory_mb * 1e6 / 4.0) as usize).max(LONGEST_BODY) / ROOM_UNIT;
         let room = Arc::new(Semaphore::new(room.min(Semaphore::MAX_PERMITS)));
         let (busy, jobs) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        let listener = Mutex::new(Some(listener));
         Arc::new(Edge { router, guest_path, ending, listener, places, room, busy, jobs })
     }
 
@@ -117,10 +128,18 @@
         self.jobs.load(Ordering::Relaxed) > self.places.most - self.places.most / 8
     }
 
-    /// Takes edge connections for good.
+    /// Takes edge connections until they close.
     async fn take_all(self: Arc<Self>) {
+        let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(listener) = listener else { return };
+        let mut ending = self.ending.watch();
         loop {
-            match self.listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                _ = ending.wait_for(|stage| matches!(stage, Stage::Closing(_))) => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let place = Arc::new(self.places.take().await);
                     let edge = Arc::clone(&self);
@@ -139,74 +158,112 @@
     /// Serves one edge connection until either side closes it.
     async fn serve(self: &Arc<Self>, stream: TcpStream, place: Arc<Place>) {
         let _ = stream.set_nodelay(true);
+        let stream = ReadAhead::new(stream);
+        if !self.answer_all(&stream, &place).await {
+            return;
+        }
+        place.becomes(State::Closing);
+        let Some(stream) = stream.into_stream() else { return };
+        tokio::select! {
+            () = linger(stream) => {}
+            () = place.leave.notified() => {}
+        }
+    }
+
+    /// Answers one request after the other; whether the connection ends with an answer that its reader
+    /// may not have yet, and is closed with care.
+    async fn answer_all(self: &Arc<Self>, stream: &ReadAhead, place: &Arc<Place>) -> bool {
         let whole_by = from_now(FIRST_WITHIN);
         let used = Arc::new(AtomicBool::new(false));
+        let whole = Arc::new(AtomicBool::new(false));
         let raw = Arc::new(RawHead::default());
-        let seen = Arc::clone(&raw);
-        let stream = InspectReader::new(stream, move |bytes: &[u8]| seen.add(bytes));
-        let (edge, mine) = (Arc::clone(self), (Arc::clone(&used), Arc::clone(&place)));
+        let mine = (Arc::clone(self), Arc::clone(&used), Arc::clone(&whole));
+        let (seen, shared) = (Arc::clone(&raw), (Arc::clone(&raw), Arc::clone(place), stream.clone()));
         let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-            let (edge, raw, (used, place)) = (Arc::clone(&edge), Arc::clone(&raw), mine.clone());
+            let ((edge, used, whole), (raw, place, stream)) = (mine.clone(), shared.clone());
             let body_by = if place.is(State::New) { whole_by } else { from_now(BODY_WITHIN) };
             Box::pin(async move {
                 place.becomes(State::Serving);
                 used.store(request.uri().path() != edge.guest_path, Ordering::Relaxed);
-                let head = raw.take();
-                let response = edge.answer(request.map(Body::new), &head, body_by).await;
+                let terms = Terms { body_by, room: Arc::clone(&edge.room), whole: Arc::clone(&whole) };
+                let mut response = edge.answer(request.map(Body::new), &raw.take(), terms).await;
+                whole.store(false, Ordering::Relaxed);
+                // Guards against what came beyond the bytes that are kept: the rest is no request.
+                if stream.overrun() {
+                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
                 raw.begin();
                 place.becomes(State::Idle);
                 Ok::<_, Infallible>(response)
             })
         });
-        let mut connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE)
-            .max_buf_size(BUFFER)
-            .serve_connection(TokioIo::new(stream), service);
+        let begin = || {
+            let seen = Arc::clone(&seen);
+            let io = InspectReader::new(stream.clone(), move |bytes: &[u8]| seen.add(bytes));
+            let mut library = http1::Builder::new();
+            library.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(BUFFER);
+            library.serve_connection(TokioIo::new(io), service.clone())
+        };
+        let mut connection = begin();
         let mut ending = self.ending.watch();
-        let mut old = !self.ending.begun();
         let mut late = false;
         let mut leaves: Option<Instant> = None;
         loop {
             tokio::select! {
                 biased;
+                // First of all: what has come is read, and what is to be written is, before anything ends.
                 // Not shut down at once: what its peer still sends is read first.
-                _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break,
+                _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => return true,
+                // Right after the request was read, and so before its flow has sent anything. Guards against
+                // a client that asks and goes at once, and one that goes while it waits: dropped, the
+                // connection tells the flow.
+                () = poll_fn(|cx| match whole.load(Ordering::Relaxed) {
+                    true => stream.poll_gone(cx),
+                    false => Poll::Pending,
+                }) => return false,
                 // A client's connection closes once it is idle, so that its next request goes to
-                // another scheduler. One that has sent nothing yet stays: its first request may be on
-                // its way. So does a real server's, for its call-backs.
-                _ = ending.changed(), if old => {
-                    old = false;
-                    if used.load(Ordering::Relaxed) {
+                // another scheduler. One that has sent nothing yet stays until all close: its first request
+                // may be on its way. So does a real server's, for its call-backs. A request that has begun to
+                // come is answered, and its connection closes with that.
+                _ = ending.changed() => {
+                    let all = matches!(self.ending.stage(), Stage::Closing(_));
+                    if place.is(State::Serving) || !(all || used.load(Ordering::Relaxed)) {
+                        continue;
+                    }
+                    // Guards against an answer that waits for its reader and would be lost.
+                    if stream.blocked() {
                         Pin::new(&mut connection).graceful_shutdown();
+                        continue;
+                    }
+                    raw.take();
+                    raw.begin();
+                    if !stream.put_back(&connection.into_parts().read_buf) {
+                        return true;
                     }
+                    connection = begin();
                 }
                 // Guards against clients that connect and say nothing, or begin and do not end.
                 () = sleep_until(whole_by), if !late => {
                     late = true;
                     if place.is(State::New) {
-                        return note("no first request in time", "closed");
+                        note("no first request in time", "closed");
+                        return false;
                     }
                 }
                 () = place.leave.notified(), if leaves.is_none() => leaves = Some(from_now(NOTICE)),
                 () = sleep_until(leaves.unwrap_or(whole_by)), if leaves.is_some() => {
                     leaves = None;
                     if place.is(State::Leaving) {
-                        return note("an edge connection gave its place up", "closed");
+                        note("an edge connection gave its place up", "closed");
+                        return false;
                     }
                 }
             }
         }
-        let stream = connection.into_parts().io.into_inner().into_inner();
-        place.becomes(State::Closing);
-        tokio::select! {
-            () = linger(stream) => {}
-            () = place.leave.notified() => {}
-        }
     }
 
     /// One request's answer, and whether the connection stays.
-    async fn answer(&self, mut request: Request, head: &[u8], body_by: Instant) -> Response {
+    async fn answer(&self, mut request: Request, head: &[u8], terms: Terms) -> Response {
         let _busy = Busy::new(&self.busy);
         let of_client = request.uri().path() != self.guest_path;
         let _job = of_client.then(|| Busy::new(&self.jobs));
@@ -218,7 +275,7 @@
             // answers wait. Not a refusal: those are the module's.
             StatusCode::INTERNAL_SERVER_ERROR.into_response()
         } else {
-            request.extensions_mut().insert(Terms { body_by, room: Arc::clone(&self.room) });
+            request.extensions_mut().insert(terms);
             match self.router.clone().call(request).await {
                 Ok(response) => response,
                 Err(never) => match never {},
--- a/crates/node/src/front/http.rs
+++ b/crates/node/src/front/http.rs
@@ -164,6 +164,7 @@
         Ok(read) => read,
         Err(status) => return status.into_response(),
     };
+    terms.whole();
     let Some(path) = head.uri.path_and_query().cloned() else {
         return StatusCode::BAD_REQUEST.into_response();
     };
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod edge_connection;
 pub mod http;
+pub mod read_ahead;
 
 /// A clients' protocol. It begins a flow for what it has taken and gives the final answer its form;
 /// it words no refusal of its own.
