--- a/crates/copperspread/tests/client_moments.rs
+++ b/crates/copperspread/tests/client_moments.rs
@@ -32,7 +32,7 @@
         {
             queue.push(stream.expect("a connection"));
         }
-        Crowded { listener, queue: queue }
+        Crowded { listener, queue }
     }
 
     fn address(&self) -> std::net::SocketAddr {
