Bound the module's waits between calls to an asked discovery by the 6 s of the terms

Seen: with lists asked for, four calls turned away and discovery then back, a drain was known 7.4 s after (with five: 9.9 s and, on the whole code before, 12.2 s); allowed are 6 s after discovery had it and could be reached. Ruled out: the node's own limits, 1.8 s a call. At fault: `on_roster` of decide.rs, whose wait after `RosterKind::Failed` doubled up to `ask_within` (10 s), and `start`, whose first call was spread over half of `ask_within` (5 s), to which a call's limit adds.

Change: a wait is 2 s at most (`SUBSCRIBE_BACKOFF`), the first call comes within 3 s (`SUBSCRIBE_FIRST`), or within what `ask_within` leaves where that is shorter. Both stay random.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -128,13 +128,14 @@
 const SHORT_GAIN: f64 = 0.05;
 /// Most of all tries that can be repeats of so late; beyond it, clients wait less long than they might.
 const SHORT_MOST: f64 = 0.08;
-/// Part of `ask_within` by which the first subscription is made: early, but spread out so that
+/// Latest first subscription, if half of `ask_within` is not sooner: early, but spread out so that
 /// restarted dispatchers do not stampede discovery.
-const SUBSCRIBE_SPREAD: f64 = 0.5;
+const SUBSCRIBE_FIRST: Micros = 3 * SECOND;
 /// Spread of the first subscription for each dispatcher of the fleet: small fleets need none.
 const SUBSCRIBE_EACH: Micros = 150_000;
-/// First wait after a failed call to discovery; doubles up to `ask_within`.
-const SUBSCRIBE_BACKOFF: Micros = SECOND;
+/// First and longest wait after a failed call to discovery. A change counts as told 6 s after discovery
+/// could be reached, whatever failed: a call given up just then, this wait and the next call fit in.
+const SUBSCRIBE_BACKOFF: (Micros, Micros) = (SECOND, 2 * SECOND);
 
 /// A rate in work a second, learned as a mean of logarithms so that one odd hint moves it little.
 #[derive(Clone, Copy, Debug, Default)]
@@ -389,9 +390,9 @@
             actions.push(Action::Wake { after, timer: Timer::Probe });
         }
         if self.settings.discovery == Discovery::OnRequest {
-            let most = secs(self.settings.ask_within) * SUBSCRIBE_SPREAD;
-            let spread = secs(SUBSCRIBE_EACH * Micros::from(self.settings.fleet_size)).min(most);
-            let after = span(self.rng.f64() * spread);
+            let most = SUBSCRIBE_FIRST.min(self.settings.ask_within / 2);
+            let spread = (SUBSCRIBE_EACH * Micros::from(self.settings.fleet_size)).min(most);
+            let after = self.rng.u64(0..=spread);
             self.asking = true;
             actions.push(Action::Wake { after, timer: Timer::Discovery });
         }
@@ -406,8 +407,8 @@
                 // a random moment, so that a recovering discovery is not stampeded.
                 self.subscribed = false;
                 if self.settings.discovery == Discovery::OnRequest {
-                    let doubled = SUBSCRIBE_BACKOFF << self.failed_calls.min(4);
-                    let most = doubled.min(self.settings.ask_within);
+                    let doubled = SUBSCRIBE_BACKOFF.0 << self.failed_calls.min(4);
+                    let most = doubled.min(SUBSCRIBE_BACKOFF.1).min(self.settings.ask_within);
                     self.failed_calls += 1;
                     let after = most / 2 + self.rng.u64(0..=most / 2);
                     self.asking = true;
