Follow an asked discovery within 6 s of its being there, whatever failed before

Seen and at fault, in `follow` of source/targets.rs unless said otherwise, where lists are asked for: - After a watch that fell silent the next call was a held watch too: two silent ones add up to 7.6 s. Now the whole list is asked for after any failure and at the start, as where lists are pushed. With a call's limit of 1.8 s beside its hold the sum would be 5.7 s; with 1.5 s it is 5.1 s. A word to ask that came while a call was out passed for the answer to the next failure. Now one failure is told, and one word waited for; an older word is dropped. - A discovery that answers watches at once with what is known (pushed too), or whole lists while each watch breaks, was asked without any pause. Now after 0.1 s.

In module.rs the re-opened call is now checked to be the whole list where it was checked to be a watch.

--- a/crates/copperspread/tests/module.rs
+++ b/crates/copperspread/tests/module.rs
@@ -158,19 +158,28 @@
     let membership = house.node.membership.clone();
     tokio::spawn(Box::new(Targets { address, known: Some(1) }).follow(membership));
     const WATCH: &str = "GET /api/targets?from=1&hold_ms=2000 HTTP/1.1";
+    const WHOLE: &str = "GET /api/targets HTTP/1.1";
     let nothing = list(1, false, &[]);
     // The module hears that its subscription has come about, though there is nothing new.
     assert_eq!(house.told().await, (RosterKind::Remembered, 0));
-    discovery.asked().await.answer("200 OK", "", &nothing);
+    let first = discovery.asked().await;
+    assert_eq!(first.message.first, WHOLE);
+    first.answer("200 OK", "", &nothing);
     assert_eq!(house.told().await, (RosterKind::Changes, 0));
-    // A watch that breaks or falls silent is opened anew, long before what it missed counts as told.
-    drop(discovery.asked().await);
-    discovery.asked().await.answer("200 OK", "", &nothing);
+    // After a watch that breaks or falls silent the whole list is asked for, long before what was missed
+    // counts as told: a second watch could fall silent for as long again.
+    let watch = discovery.asked().await;
+    assert_eq!(watch.message.first, WATCH);
+    drop(watch);
+    let again = discovery.asked().await;
+    assert_eq!(again.message.first, WHOLE);
+    again.answer("200 OK", "", &nothing);
     let since = std::time::Instant::now();
-    let _silent = discovery.asked().await;
+    let silent = discovery.asked().await;
+    assert_eq!(silent.message.first, WATCH);
     let again = discovery.asked().await;
     assert!(since.elapsed().as_millis() < 4_000, "{:?}", since.elapsed());
-    assert_eq!(again.message.first, WATCH);
+    assert_eq!(again.message.first, WHOLE);
     again.answer("200 OK", "", &list(1, false, &[member("r0", discovery.address, "DRAINING")]));
     assert_eq!(house.told().await, (RosterKind::Changes, 1), "no failure before");
     // One that is turned away is not: the module waits, and asks.
@@ -187,3 +196,30 @@
     assert_eq!(house.told().await, (RosterKind::Full, 0));
     assert!(discovery.idle());
 }
+
+// Guards against a word to ask that came while a call was out, and that would pass for the module's answer to
+// the next failure: the module spreads its calls.
+#[tokio::test]
+async fn an_older_word_to_ask_is_no_answer_to_a_later_failure() {
+    let mut discovery = Party::new().await;
+    let (_place, address) = watch::channel(discovery.address.to_string().parse().expect("an address"));
+    let mut house = House::open("on_request", &[]).await;
+    let membership = house.node.membership.clone();
+    tokio::spawn(Box::new(Targets { address, known: Some(1) }).follow(membership));
+    assert_eq!(house.told().await, (RosterKind::Remembered, 0));
+    discovery.asked().await.answer("200 OK", "", &list(1, true, &[]));
+    assert_eq!(house.told().await, (RosterKind::Full, 0));
+    let watch = discovery.asked().await;
+    // The stub asks at this event, with a call out.
+    house.node.membership.remember(None);
+    assert_eq!(house.told().await, (RosterKind::Remembered, 0));
+    house.subscribe.store(false, Ordering::Relaxed);
+    watch.answer("503 Service Unavailable", "", "");
+    assert_eq!(house.told().await, (RosterKind::Failed, 0));
+    let early = tokio::time::timeout(std::time::Duration::from_millis(300), discovery.asked()).await;
+    assert!(early.is_err(), "the module has not asked yet");
+    // It does now.
+    house.subscribe.store(true, Ordering::Relaxed);
+    house.node.membership.remember(None);
+    assert_eq!(discovery.asked().await.message.first, "GET /api/targets HTTP/1.1");
+}
--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -333,3 +333,16 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().await.expect("a shell").success());
     }
 }
+
+impl Scheduler {
+    /// Ends it by a signal and starts it again, on the same address and from the same file.
+    pub async fn again(&mut self, signal: &str) {
+        self.signal(signal).await;
+        within("its end", self.child.wait()).await.expect("it ended");
+        let mut start = Command::new(env!("CARGO_BIN_EXE_copperspread"));
+        start.env("EDGE_CONFIG", &self.path).stderr(Stdio::piped()).kill_on_drop(true);
+        self.child = start.spawn().expect("it starts");
+        self.log = BufReader::new(self.child.stderr.take().expect("piped")).lines();
+        while !self.line().await.contains("serves on") {}
+    }
+}
--- a/crates/node/src/source/mod.rs
+++ b/crates/node/src/source/mod.rs
@@ -3,6 +3,7 @@
 
 use copperspread_decisions::{RosterKind, WorkerEntry};
 use copperspread_settings::List;
+use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 
 use crate::decisions::Decisions;
@@ -33,10 +34,12 @@
 
     /// Tells the list that was known before the start; returns its version.
     pub fn remember(&self, known: Option<&List>) -> Option<u64> {
-        let known = known?;
-        let told = self.entries.take(known).unwrap_or_default();
-        self.decisions.roster(RosterKind::Remembered, &told);
-        Some(known.revision)
+        let told = known.and_then(|known| self.entries.take(known)).unwrap_or_default();
+        // Guards against a module that has heard nothing yet: before its first event it asks for no list.
+        if known.is_some() || self.on_request() {
+            self.decisions.roster(RosterKind::Remembered, &told);
+        }
+        known.map(|known| known.revision)
     }
 
     /// Takes a list into the table and returns its entries, or nothing where the table already holds
@@ -58,6 +61,9 @@
 
     /// A call failed, or a subscription dropped.
     pub fn failed(&self) {
+        // Guards against an older word to ask, which came while a call was out already: it would pass for
+        // the answer to this failure.
+        let _ = self.subscription().now_or_never();
         self.decisions.roster(RosterKind::Failed, &[]);
     }
 
--- a/crates/node/src/source/targets.rs
+++ b/crates/node/src/source/targets.rs
@@ -20,17 +20,19 @@
 /// of the least memory. The 64 KiB of the protocol's other bodies hold about 400.
 const LONGEST_BODY: usize = 2 << 20;
 /// How long a watch is held at discovery. Short, because the wait for a watch that fell silent adds
-/// to how late a change is seen, and empty answers cost little.
-const HOLD: Micros = 2 * SECOND;
+/// to how late a change is seen, and empty answers cost little. It and what adds to it can be read from
+/// outside: `docs/crossings-list.md` sums them, a test too.
+pub const HOLD: Micros = 2 * SECOND;
 /// A pushed list is at an agent nearby, which answers at once: a watch that has not answered this long
 /// after its hold is over is dropped, and so is a call for the whole list.
-const SILENT: (Micros, Micros) = (SECOND, 700_000);
-/// Where lists are asked for, calls wait their turn for up to a second before they fail. What a silent
-/// watch misses counts as told 2 s after its hold at the soonest.
-const SILENT_ASKED: Micros = 1_800_000;
+pub const SILENT: (Micros, Micros) = (SECOND, 700_000);
+/// Where lists are asked for, calls wait their turn for up to a second before they fail; the rest is for
+/// their way. It counts twice in the wait for a change: for the call that is given up and for the next.
+pub const SILENT_ASKED: Micros = 1_500_000;
 /// First and longest wait before a failed call is made again where lists are pushed. Together with the
-/// limit of the whole list under a second: what the agent has binds, also while it was silent.
-const RETRY: (Micros, Micros) = (100_000, 200_000);
+/// limit of the whole list under a second: what the agent has binds, also while it was silent. Where lists
+/// are asked for, the first before a watch that broke is opened anew.
+pub const RETRY: (Micros, Micros) = (100_000, 200_000);
 
 /// The platform's discovery at an address, which may move.
 pub struct Targets {
@@ -66,23 +68,24 @@
     Fault::Broken(error.to_string())
 }
 
-/// Follows discovery for good: one watch after the other. Where lists are pushed, the first call and any
-/// after one that failed want the whole list, as a watch says nothing for as long as it is held. Where
-/// changes come only on request, each subscription that the module asks for lasts until a call fails; a
-/// watch that broke is opened anew once before the module hears of it, as the module waits longer each
-/// time. When discovery moves, what is under way is dropped and the new address is asked for the whole
-/// list.
+/// Follows discovery for good: one watch after the other. The first call and any after one that failed want
+/// the whole list, as a watch says nothing for as long as it is held. Where changes come only on request, a
+/// watch that broke is opened anew once before the module hears of it; after any other failure the next call
+/// is the module's to ask for. When discovery moves, what is under way is dropped and the new address is
+/// asked for the whole list.
 async fn follow(mut discovery: watch::Receiver<Authority>, known: Option<u64>, membership: Membership) {
     let mut client = client();
     let mut address = discovery.borrow().clone();
     let mut revision = known;
     let mut wait = RETRY.0;
     let on_request = membership.on_request();
-    if on_request {
-        membership.subscription().await;
-    }
     // The module is owed a word that its subscription has come about.
     let mut owed = on_request;
+    // The module will ask in its own time: at the start, and once it has heard of a failure.
+    let mut waits = false;
+    if on_request {
+        waits = !asked(&mut discovery, &membership).await;
+    }
     // The last call was answered.
     let mut stands = false;
     loop {
@@ -96,18 +99,17 @@
             wait = RETRY.0;
             stands = false;
         }
-        let watched = revision.filter(|_| stands || on_request);
+        let watched = revision.filter(|_| stands);
         let path = match watched {
             Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", HOLD / 1_000),
             None => "/api/targets".to_owned(),
         };
         // Guards against a discovery that is down and keeps its connections open in silence.
-        let by = from_now(match watched {
-            Some(_) => HOLD + if on_request { SILENT_ASKED } else { SILENT.0 },
-            None if on_request => SILENT_ASKED,
-            None => SILENT.1,
-        });
+        let silent = if on_request { (SILENT_ASKED, SILENT_ASKED) } else { SILENT };
+        let by = from_now(watched.map_or(silent.1, |_| HOLD + silent.0));
+        let early = from_now(HOLD / 2);
         let answered = tokio::select! {
+            // Guards against an answer of the old address that is taken after discovery moved.
             biased;
             Ok(()) = discovery.changed() => None,
             answered = call(&client, &address, &path, by) => Some(answered),
@@ -120,13 +122,14 @@
                 let same = revision.is_some_and(|old| old == list.revision) && list.members.is_empty();
                 if let Some(told) = membership.take(&list).filter(|_| owed || list.complete || !same) {
                     membership.tell(list.complete, &told);
-                    owed = false;
+                    (owed, waits) = (false, false);
                 }
-                // Guards against a list that is older than the table: asked for again at once, it
-                // would come again at once.
+                // Guards against a list that is older than the table, and against a watch that is not
+                // held: asked for again at once, the same would come again at once.
                 let older = revision.is_some_and(|old| list.revision < old);
+                let unheld = watched == Some(list.revision) && Instant::now() < early;
                 revision = Some(list.revision);
-                if older {
+                if older || unheld {
                     sleep_until(from_now(RETRY.0)).await;
                 }
             }
@@ -138,18 +141,17 @@
                     Fault::Refused(status) => format!("answered {status}"),
                 };
                 note("no answer of discovery, the list stays", &why);
-                if on_request && stood && broke {
-                    // At once: what a silent watch missed counts as told soon.
-                } else if on_request {
-                    membership.failed();
-                    owed = true;
-                    tokio::select! {
-                        () = membership.subscription() => {}
-                        // Guards against a wait for a discovery that has moved meanwhile.
-                        Ok(()) = discovery.changed() => {}
+                if on_request && !(stood && broke) {
+                    // Told once, and waited for until the module asks. Guards against a move in this wait
+                    // from which two calls would be asked for after each failure, then three.
+                    if !std::mem::replace(&mut waits, true) {
+                        membership.failed();
                     }
+                    owed = true;
+                    waits = !asked(&mut discovery, &membership).await;
                 } else {
-                    // A discovery that moves is not waited out.
+                    // Soon: what a silent watch missed counts as told. Not at once: guards against a
+                    // discovery that answers whole lists and breaks each watch. A move is not waited out.
                     let again = from_now(wait);
                     let _ = timeout_at(again, discovery.changed()).await;
                     wait = (wait * 2).min(RETRY.1);
@@ -159,6 +161,16 @@
     }
 }
 
+/// Waits until the module asks for the list; false if discovery moved before. Guards against a wait for the
+/// old place, and against a word of the module that is lost: it stays for the next wait.
+async fn asked(discovery: &mut watch::Receiver<Authority>, membership: &Membership) -> bool {
+    tokio::select! {
+        biased;
+        () = membership.subscription() => true,
+        Ok(()) = discovery.changed() => false,
+    }
+}
+
 /// One call to discovery, which is dropped at a deadline.
 async fn call(
     client: &Client<HttpConnector, Empty<Bytes>>,
