Tell a fixed list that changes also where lists are asked for

Seen while reading: `Fixed::follow` waited for a subscription before each list, but the module asks once, as its subscription then stands; a list that SIGHUP changed was never told. No configuration leads there today (static lists are pushed), so no run of the program showed it. Change: the wait comes once.

Run without the mend: a_fixed_list_that_changes_is_told_also_where_lists_are_asked_for ... FAILED (a roster: nothing came in 60s).

--- a/crates/copperspread/tests/module.rs
+++ b/crates/copperspread/tests/module.rs
@@ -6,9 +6,9 @@
 
 use copperspread_decisions::*;
 use copperspread_node::assembly::{Assembled, assemble};
-use copperspread_node::source::{Source, targets::Targets};
+use copperspread_node::source::{Source, fixed::Fixed, targets::Targets};
 use copperspread_records::writer::Recorder;
-use copperspread_settings::platform;
+use copperspread_settings::{List, platform};
 use sockets::*;
 use tokio::sync::{mpsc, watch};
 
@@ -223,3 +223,18 @@
     house.node.membership.remember(None);
     assert_eq!(discovery.asked().await.message.first, "GET /api/targets HTTP/1.1");
 }
+
+// Guards against a subscription waited for a second time, which the module has no reason to ask for.
+#[tokio::test]
+async fn a_fixed_list_that_changes_is_told_also_where_lists_are_asked_for() {
+    let mut house = House::open("on_request", &[]).await;
+    let fixed = |revision| List { revision, complete: true, members: Vec::new() };
+    let (place, list) = watch::channel(fixed(2));
+    tokio::spawn(Box::new(Fixed(list)).follow(house.node.membership.clone()));
+    assert_eq!(house.told().await, (RosterKind::Remembered, 0));
+    for revision in 3..5 {
+        assert_eq!(house.told().await, (RosterKind::Full, 0));
+        place.send_replace(fixed(revision));
+    }
+    assert_eq!(house.told().await, (RosterKind::Full, 0));
+}
--- a/crates/node/src/source/fixed.rs
+++ b/crates/node/src/source/fixed.rs
@@ -11,10 +11,11 @@
 impl Source for Fixed {
     fn follow(mut self: Box<Self>, membership: Membership) -> BoxFuture<'static, ()> {
         Box::pin(async move {
+            // Once: a subscription lasts, as nothing can fail here.
+            if membership.on_request() {
+                membership.subscription().await;
+            }
             loop {
-                if membership.on_request() {
-                    membership.subscription().await;
-                }
                 let list = self.0.borrow_and_update().clone();
                 if let Some(told) = membership.take(&list) {
                     membership.tell(list.complete, &told);
