Repeat a keyed job only if the repeat can be written within the key's window

Cause: may_resend in decide.rs compared the window with the time of the decision. The attempt reaches the wire up to the connect timeout later, so with a window under a second a repeat could be written after the real servers had forgotten the key. Ruled out: the start of the window, which is the decision on the first attempt that may have run, so no later than its first byte.

Change: the settings' connect timeout reaches the module (Settings::connect_within; it was in the node's settings alone), and a repeat must be written within the window by now + that + HAND_OVER_SLACK (50 ms, the protocol's slack on time limits).

Without the lines in decide.rs a_keyed_job_goes_on_only_if_it_can_be_written_ within_its_window fails: "210 ms after the first that may have run, left: true, right: false" (window 500 ms, connect timeout 250 ms). The random play holds the same bound now, with a window of 5 s; it passes with and without the change.

--- a/crates/config/src/start.rs
+++ b/crates/config/src/start.rs
@@ -54,6 +54,7 @@
             cold_for: self.cold.warm_within.0,
             fall_multiple: self.cold.fall_multiple,
             fall_window: self.cold.fall_window.0,
+            connect_within: self.back.http.connect_within.0,
             max_attempts: self.attempts.most,
             second_copies: self.attempts.second_copies,
             may_cancel: self.attempts.may_cancel,
--- a/crates/config/src/types.rs
+++ b/crates/config/src/types.rs
@@ -136,7 +136,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct HttpBack {
-    /// A connection that is not up by then has failed.
+    /// A connection that is not up by then has failed. A keyed job is repeated only while so much of its
+    /// `key_window`, and 50 ms, are left.
     pub connect_within: Span,
     /// Workers close a connection that has stood idle for this long.
     pub keep_idle: Span,
--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -1194,8 +1194,12 @@
         match (self.settings.classes[request.class].effect, request.may_have_run()) {
             (_, None) | (Effect::Safe, _) => true,
             (Effect::Unsafe, Some(_)) => false,
-            // After the window the workers have forgotten the key and would run it again.
-            (Effect::Keyed { window, .. }, Some(first)) => now < first.sent_at.saturating_add(window),
+            // After the window the workers have forgotten the key and would run it again. It counts from the
+            // first attempt that may have run, and holds for when the repeat is written, not decided on.
+            (Effect::Keyed { window, .. }, Some(first)) => {
+                let written_by = now.saturating_add(self.settings.connect_within + HAND_OVER_SLACK);
+                written_by < first.sent_at.saturating_add(window)
+            }
         }
     }
 
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -8,6 +8,10 @@
 /// One second.
 pub const SECOND: Micros = 1_000_000;
 
+/// What may pass between a decision and its attempt on the wire beyond [`Settings::connect_within`]: half of
+/// it before the node begins the hand-over, half before the connection that is up is written to.
+pub const HAND_OVER_SLACK: Micros = 50_000;
+
 /// A client's request, by a number that the node never uses twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct RequestId(pub u64);
@@ -118,6 +122,8 @@
     pub fall_multiple: f64,
     /// ... for this long, a cold worker falls over.
     pub fall_window: Micros,
+    /// A connection that is not up within this has failed: an attempt may be written so much later.
+    pub connect_within: Micros,
     /// The most attempts one request may have.
     pub max_attempts: u32,
     /// Two attempts of one request may be out together.
@@ -152,6 +158,7 @@
             cold_for: 10 * SECOND,
             fall_multiple: 1.0,
             fall_window: SECOND,
+            connect_within: 0,
             max_attempts: 1,
             second_copies: false,
             may_cancel: false,
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -7,6 +7,7 @@
 const KEYED_ALL: Effect = Effect::Keyed { scope: KeyScope::All, window: 5 * SECOND };
 const KEYED_CELL: Effect = Effect::Keyed { scope: KeyScope::Cell, window: 5 * SECOND };
 const KEYED_ZONE: Effect = Effect::Keyed { scope: KeyScope::Zone, window: 5 * SECOND };
+const CONNECT: Micros = 250 * MS;
 
 fn sent_to_one_of_four(effect: Effect) -> (Node, u32) {
     let entries: Vec<_> = (0..4).map(|i| WorkerEntry { zone: i / 2, ..entry(i) }).collect();
@@ -51,6 +52,27 @@
     assert!(node.sent().is_none(), "the workers have forgotten the key");
 }
 
+/// Guards against a repeat that is decided on within the window and written after it: its connection may
+/// take as long as the settings allow to come up.
+#[test]
+fn a_keyed_job_goes_on_only_if_it_can_be_written_within_its_window() {
+    const WINDOW: Micros = 500 * MS;
+    for (after, goes_on) in [(0, true), (190, true), (210, false), (300, false), (499, false)] {
+        let entries: Vec<_> = (0..4).map(entry).collect();
+        let effect = Effect::Keyed { scope: KeyScope::All, window: WINDOW };
+        let mut node = Node::new(Settings { connect_within: CONNECT, ..settings(effect) }, &entries);
+        node.job(1, 0.2);
+        // The first attempt never ran: its time does not count.
+        node.now += 400 * MS;
+        node.outcome(1, 0, Outcome::ConnectFailed);
+        assert!(node.sent().is_some(), "what never ran goes on");
+        node.now += after * MS;
+        node.outcome(1, 1, Outcome::Reset);
+        assert_eq!(node.sent().is_some(), goes_on, "{after} ms after the first that may have run");
+        assert_eq!(node.refused(), !goes_on, "all workers know its key");
+    }
+}
+
 #[test]
 fn a_keyed_job_that_may_have_run_is_refused_only_if_all_workers_know_it() {
     for (effect, refused) in [(KEYED_ALL, true), (KEYED_CELL, false), (KEYED_ZONE, false)] {
@@ -131,7 +153,7 @@
 fn play(effect: Effect, second_copies: bool, seed: u64) -> (u32, u32) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let entries: Vec<_> = (0..6).map(|i| WorkerEntry { zone: i / 3, kind: i % 2, ..entry(i) }).collect();
-    let settings = Settings { second_copies, ..settings(effect) };
+    let settings = Settings { second_copies, connect_within: CONNECT, ..settings(effect) };
     let mut node = Node::seeded(settings, &entries, seed);
     let mut ready = [true; 6];
     let mut seen: HashMap<u64, Seen> = HashMap::new();
@@ -206,7 +228,8 @@
                     match (effect, ran) {
                         (Effect::Unsafe, ran) => assert!(ran.is_none(), "seed {seed}: ran twice"),
                         (Effect::Keyed { scope, window }, Some(&(first, at, _))) => {
-                            assert!(node.now <= at + window, "seed {seed}: after the window");
+                            let written_by = node.now + CONNECT + HAND_OVER_SLACK;
+                            assert!(written_by <= at + window, "seed {seed}: after the window");
                             let (a, b) = (entries[first as usize], entries[worker.0 as usize]);
                             assert!(match scope {
                                 KeyScope::All => true,
