Ask the table again as a hand-over is written, and believe no stray answer

Causes, all in back/http.rs, hand_over_now: - The table of entries was asked before the connection came up. A connection that came up late, or one that another request left meanwhile, was written to though its real server drained or had moved by then. - Nor did anything bound the write by time, where the process stood still between decision and write. - The rest of an answer was read to its end before the outcome went on: a 503 with X-Not-Processed whose body never ends was told at the job's deadline, and a 202 of that kind kept its place up to then. - A connection that had brought any answer carried the next request. A second answer some milliseconds late was read for that request's own: a second "never ran" made a job that must run once go elsewhere. - Heads of answers were read up to the library's 400 KB. Ruled out: TCP_NODELAY is set; the library never resends; an answer that a reset follows at once is read; a connection that comes up after its flow ended carries nothing and is closed after the idle time.

Change: a hand-over's body is given out by a guard that asks the table and the time in the step that writes the head, before anything is flushed; without its last byte it never ran (Moot). The outcome is the head's; the rest of a 202 is read for 0.1 s under the same place, of another answer not at all. A connection that brought anything but a 202 carries no more. Where a connection's last answer came less than 50 ms before a hand-over began, "never ran" is no proof for a job that may not go anywhere. Heads end at 32 KB.

Left: a stray 202 may be read for the next job's. That job then waits for its call-back up to its deadline; it is not sent twice.

--- /dev/null
+++ b/crates/copperspread/tests/hand_over_moments.rs
@@ -0,0 +1,502 @@
+//! Rare moments on the way to real servers, forced over sockets: what comes between a decision and its
+//! writing, between an answer and the next request on its connection, between a reset and a repeat.
+mod sockets;
+
+use copperspread_decisions::{Effect, KeyScope, Outcome, WorkerId};
+use copperspread_node::back::{Back, http::RealServers};
+use copperspread_node::{clock::from_now, entries::ServiceEntries, order::Order};
+use copperspread_settings::{json, platform};
+use futures_util::FutureExt;
+use sockets::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+const DONE: &str = r#""state":"done","result":"paid""#;
+const NOT_RUN: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+/// A real server played byte by byte, whose next connections can be kept from coming up.
+struct RawServer {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+type Connection = BufReader<TcpStream>;
+
+impl RawServer {
+    fn new() -> RawServer {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        // One connection may wait here to be accepted, and no more.
+        let listener = socket.listen(0).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        RawServer { listener, address }
+    }
+    async fn accept(&self) -> Connection {
+        BufReader::new(within("a connection", self.listener.accept()).await.expect("it is up").0)
+    }
+    /// The next connection and the request on it.
+    async fn asked(&self) -> (Connection, Message) {
+        let mut connection = self.accept().await;
+        let message = request(&mut connection).await.expect("a request");
+        (connection, message)
+    }
+    /// Keeps further connections from coming up until it is let in.
+    async fn full(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.expect("it listens")
+    }
+    /// Waits until the scheduler waits for a connection to it, which the kernel shows as SYN_SENT.
+    async fn awaited(&self) {
+        let port = format!(":{:04X} 02 ", self.address.port());
+        let seen = async {
+            while !std::fs::read_to_string("/proc/net/tcp").expect("a table").contains(&port) {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        within("a connection under way", seen).await;
+    }
+}
+
+async fn say(connection: &mut Connection, text: &str) {
+    connection.write_all(text.as_bytes()).await.expect("it reads");
+}
+
+/// What else comes on a connection, up to its end.
+async fn rest(connection: &mut Connection) -> String {
+    let mut rest = Vec::new();
+    let _ = within("a connection's end", connection.read_to_end(&mut rest)).await;
+    String::from_utf8(rest).expect("UTF-8")
+}
+
+/// A scheduler that waits long for connections.
+async fn patient(known: &[SocketAddr]) -> Scheduler {
+    edited("s/\"connect_timeout_s\":0.25/\"connect_timeout_s\":20/", 1024, known).await
+}
+
+async fn edited(edit: &str, sockets: u32, known: &[SocketAddr]) -> Scheduler {
+    let command = format!("sed -i -e '{edit}' \"$EDGE_CONFIG\" && exec \"$PROGRAM\"");
+    Scheduler::start_by(&command, sockets, known).await
+}
+
+/// Tells of a change, and waits until the scheduler has taken it and asks for the next.
+async fn tell(scheduler: &mut Scheduler, revision: u64, members: &[String]) {
+    scheduler.discovery.asked().await.answer("200 OK", "", &list(revision, false, members));
+    let next = scheduler.discovery.asked().await;
+    assert!(next.message.first.contains(&format!("from={revision}")), "{}", next.message.first);
+}
+
+fn empty(job: String) -> String {
+    job.replace("Content-Length: 2\r\n\r\nhi", "Content-Length: 0\r\n\r\n")
+}
+
+// Guards against a hand-over that waited for a connection while its real server began to drain, and got one
+// that another request had just left: the table is asked in the step that writes.
+#[tokio::test]
+async fn a_freed_connection_carries_nothing_to_a_real_server_that_began_to_drain() {
+    for second in [job("once", 2, 9000), empty(job("once", 2, 9000))] {
+        let server = RawServer::new();
+        let mut scheduler = patient(&[server.address]).await;
+        let (mut one, mut two) = (scheduler.client().await, scheduler.client().await);
+        one.job("once", 1, 9000).await;
+        let (mut kept, first) = server.asked().await;
+        let _full = server.full().await;
+        two.send(&second).await;
+        server.awaited().await;
+        tell(&mut scheduler, 6, &[member("r0", server.address, "DRAINING")]).await;
+        say(&mut kept, TAKEN).await;
+        assert_eq!(rest(&mut kept).await, "", "nothing is written");
+        assert_eq!(two.heard().await.expect("an answer").status(), 503, "it never ran");
+        assert_eq!(scheduler.call_back(&first.headers["x-request-id"], "r0", DONE).await, 204);
+        assert_eq!(one.heard().await.expect("an answer").status(), 200);
+    }
+}
+
+// The same with a connection that comes up late, to a real server that drains or stands elsewhere by then.
+#[tokio::test]
+async fn a_late_connection_carries_nothing_to_a_real_server_that_drains_or_moved() {
+    let elsewhere = Party::new().await;
+    for (drains, text) in [(true, job("once", 3, 9000)), (false, empty(job("safe", 3, 9000)))] {
+        let server = RawServer::new();
+        let mut scheduler = patient(&[server.address]).await;
+        let full = server.full().await;
+        let mut client = scheduler.client().await;
+        client.send(&text).await;
+        server.awaited().await;
+        let change = match drains {
+            true => member("r0", server.address, "DRAINING"),
+            false => member("r0", elsewhere.address, "SERVING"),
+        };
+        tell(&mut scheduler, 6, &[change]).await;
+        drop((full, server.accept().await));
+        let mut late = server.accept().await;
+        assert_eq!(rest(&mut late).await, "", "drains: {drains}");
+        assert_eq!(client.heard().await.expect("an answer").status(), 503, "drains: {drains}");
+    }
+}
+
+// Guards against a connection that comes up after its flow has ended: it carries nothing, holds no place, and
+// is closed before the real server would.
+#[tokio::test]
+async fn a_connection_that_comes_up_after_its_flow_ended_carries_nothing() {
+    let server = RawServer::new();
+    let scheduler = patient(&[server.address]).await;
+    let (mut one, mut two) = (scheduler.client().await, scheduler.client().await);
+    one.job("once", 4, 9000).await;
+    let (mut kept, first) = server.asked().await;
+    let full = server.full().await;
+    two.job("once", 5, 9000).await;
+    server.awaited().await;
+    // The second goes out on the first one's connection, and both end.
+    say(&mut kept, TAKEN).await;
+    let second = request(&mut kept).await.expect("the second");
+    say(&mut kept, TAKEN).await;
+    for (message, client) in [(first, &mut one), (second, &mut two)] {
+        assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+    // Nobody waits for the other connection any more. It comes up all the same, and is closed unused.
+    drop((full, server.accept().await));
+    let mut late = server.accept().await;
+    assert_eq!(rest(&mut late).await, "");
+    assert_eq!(rest(&mut kept).await, "");
+}
+
+// Guards against an answer whose body or head never ends, and holds a place, or an outcome that is known.
+#[tokio::test]
+async fn an_answer_that_never_ends_holds_up_nobody() {
+    let server = RawServer::new();
+    // 64 descriptors allow for eight hand-overs at once.
+    let scheduler = Scheduler::start_by("exec \"$PROGRAM\"", 64, &[server.address]).await;
+    let mut client = scheduler.client().await;
+    let bodies =
+        ["Content-Length: 9\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "\r\nthe rest"];
+    for (number, body) in (10..30).zip(bodies.iter().cycle()) {
+        client.job("once", number, 9000).await;
+        let (mut connection, message) = server.asked().await;
+        if number % 2 == 0 {
+            say(&mut connection, &format!("HTTP/1.1 202 Accepted\r\n{body}")).await;
+            // The call-back is heard, and the connection is closed long before the job's time is over.
+            assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+            assert_eq!(client.heard().await.expect("an answer").status(), 200, "{body}");
+        } else {
+            let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\n";
+            say(&mut connection, &format!("{head}{body}")).await;
+            assert_eq!(client.heard().await.expect("an answer").status(), 503, "{body}");
+        }
+        assert_eq!(rest(&mut connection).await, "");
+    }
+    // A head without end is given up: whether it ran is open.
+    client.job("once", 30, 9000).await;
+    let (mut connection, _) = server.asked().await;
+    let endless = format!("HTTP/1.1 202 Accepted\r\nX-Long: {}", "x".repeat(60_000));
+    let _ = connection.write_all(endless.as_bytes()).await;
+    assert_eq!(client.heard().await.expect("an answer").status(), 500);
+    assert_eq!(rest(&mut connection).await, "");
+}
+
+// Guards against answers that are read for the next request's: what follows one that is not a plain 202, or
+// follows at once, does not.
+#[tokio::test]
+async fn a_second_answer_is_never_the_next_jobs_own() {
+    let twice = format!("{TAKEN}{NOT_RUN}");
+    let garbage = format!("{TAKEN}\u{1}\u{2}trailing");
+    let failed = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+    for (spoilt, status) in [(NOT_RUN, 503), (failed, 500), (&twice, 200), (&garbage, 200)] {
+        let server = RawServer::new();
+        let scheduler = Scheduler::start(&[server.address]).await;
+        let mut client = scheduler.client().await;
+        client.job("once", 40, 9000).await;
+        let (mut first, message) = server.asked().await;
+        say(&mut first, spoilt).await;
+        if status == 200 {
+            assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+        }
+        assert_eq!(client.heard().await.expect("an answer").status(), status);
+        client.job("once", 41, 9000).await;
+        let (mut second, message) = tokio::select! {
+            asked = server.asked() => asked,
+            Some(message) = request(&mut first) => panic!("after {spoilt:?} came {message:?}"),
+        };
+        // Late, and for nobody.
+        let _ = first.write_all(NOT_RUN.as_bytes()).await;
+        say(&mut second, TAKEN).await;
+        assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+        assert_eq!(client.heard().await.expect("an answer").status(), 200, "after {spoilt:?}");
+    }
+}
+
+// Guards against a second run on the word of an answer that may belong to the request before: one that says
+// "never ran" is believed for a job that may not run twice only where no other came just before.
+#[tokio::test]
+async fn an_answer_that_may_be_the_last_requests_second_one_proves_nothing() {
+    for (class, goes_on) in [("once", false), ("keyed", false), ("safe", true)] {
+        let (server, mut other) = (RawServer::new(), Party::new().await);
+        let mut scheduler = patient(&[server.address]).await;
+        let (mut one, mut two) = (scheduler.client().await, scheduler.client().await);
+        one.job("once", 50, 9000).await;
+        let (mut kept, _) = server.asked().await;
+        let _full = server.full().await;
+        two.job(class, 51, 9000).await;
+        server.awaited().await;
+        let elsewhere = member("r1", other.address, "SERVING").replace("\"cell\":0", "\"cell\":1");
+        tell(&mut scheduler, 6, &[elsewhere]).await;
+        // The first job's answer frees the connection for the second job, and comes twice, in another form.
+        say(&mut kept, TAKEN).await;
+        request(&mut kept).await.expect("the second job");
+        say(&mut kept, NOT_RUN).await;
+        if goes_on {
+            let id = other.asked().await.accept();
+            assert_eq!(scheduler.call_back(&id, "r1", DONE).await, 204);
+        }
+        let status = if goes_on { 200 } else { 500 };
+        assert_eq!(two.heard().await.expect("an answer").status(), status, "{class}");
+        assert!(other.idle(), "{class}");
+    }
+}
+
+// Guards against a second run where it is not allowed: after a reset under a request that has begun, each
+// class goes on within its own bounds, and is answered by what may have run.
+#[tokio::test]
+async fn a_job_reset_after_it_began_goes_on_only_as_its_class_allows() {
+    let short = "s/\"window_s\":9/\"window_s\":0.29/";
+    let cases = [
+        ("once", 0, "", None),
+        ("safe", 1, "", Some(200)),
+        ("keyed", 0, "", Some(200)),
+        // The only other real server has not the memory of its key.
+        ("keyed", 1, "", None),
+        // A repeat could reach the wire 0.25 s later, and the key may be forgotten then.
+        ("keyed", 0, short, None),
+    ];
+    for (class, cell, edit, goes_on) in cases {
+        let (server, mut other) = (RawServer::new(), Party::new().await);
+        let mut scheduler = edited(edit, 1024, &[server.address]).await;
+        let mut client = scheduler.client().await;
+        client.job(class, 60, 9000).await;
+        let (connection, _) = server.asked().await;
+        let elsewhere =
+            member("r1", other.address, "SERVING").replace("\"cell\":0", &format!("\"cell\":{cell}"));
+        tell(&mut scheduler, 6, &[elsewhere]).await;
+        reset(connection);
+        if goes_on.is_some() {
+            let id = other.asked().await.accept();
+            assert_eq!(scheduler.call_back(&id, "r1", DONE).await, 204);
+        }
+        let answer = client.heard().await.expect("an answer").status();
+        assert_eq!(answer, goes_on.unwrap_or(500), "{class}, cell {cell}, {edit:?}");
+        assert!(other.idle(), "{class}, cell {cell}, {edit:?}");
+    }
+}
+
+fn reset(connection: Connection) {
+    connection.into_inner().set_zero_linger().expect("an option");
+}
+
+// Guards against an answer that is lost to the reset that comes with it.
+#[tokio::test]
+async fn an_answer_counts_though_a_reset_comes_with_it() {
+    let server = RawServer::new();
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    for (number, answer, status) in [(70, TAKEN, 200), (71, NOT_RUN, 503), (72, TAKEN, 500)] {
+        client.job("once", number, 9000).await;
+        let (mut connection, message) = server.asked().await;
+        say(&mut connection, answer).await;
+        reset(connection);
+        let id = &message.headers["x-request-id"];
+        let news = if status == 200 { DONE } else { r#""state":"lost""# };
+        if answer == TAKEN {
+            // Twice: the second finds nobody.
+            assert_eq!(scheduler.call_back(id, "r0", news).await, 204);
+            assert_eq!(scheduler.call_back(id, "r0", DONE).await, 204);
+        }
+        assert_eq!(client.heard().await.expect("an answer").status(), status);
+    }
+}
+
+// Guards against a real server that hangs in the middle of its work: the answer at the end says that the job
+// may have run, and it has gone nowhere that has not the memory of its key.
+#[tokio::test]
+async fn a_job_that_hangs_in_its_work_fails_in_time_and_goes_nowhere_else() {
+    for class in ["once", "keyed"] {
+        let (mut server, mut other) = (Party::new().await, Party::new().await);
+        let mut scheduler = Scheduler::start(&[server.address]).await;
+        let mut client = scheduler.client().await;
+        client.job(class, 75, 1500).await;
+        let id = server.asked().await.accept();
+        assert_eq!(scheduler.call_back(&id, "r0", r#""state":"started""#).await, 204);
+        let elsewhere = member("r1", other.address, "SERVING").replace("\"cell\":0", "\"cell\":1");
+        tell(&mut scheduler, 6, &[elsewhere]).await;
+        assert_eq!(client.heard().await.expect("an answer").status(), 500, "{class}");
+        assert_eq!(server.asked().await.message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
+        // What it says after all finds nobody.
+        assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+        assert!(other.idle(), "{class}");
+    }
+}
+
+// Guards against a second run of a job that was to be written to a kept connection just as the real server
+// closed it: the scheduler finds both at once.
+#[tokio::test]
+async fn a_job_that_meets_the_close_of_a_kept_connection_runs_once_at_most() {
+    let server = RawServer::new();
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    for number in (200..206_u64).step_by(2) {
+        client.job("once", number, 9000).await;
+        let (mut kept, message) = server.asked().await;
+        assert_eq!(message.headers["x-request-id"], format!("{number:016x}"));
+        say(&mut kept, TAKEN).await;
+        assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+        scheduler.signal("STOP").await;
+        drop(kept);
+        client.job("once", number + 1, 9000).await;
+        scheduler.signal("CONT").await;
+        tokio::select! {
+            // It went out anew, and the closed connection took nothing of it.
+            (mut anew, message) = server.asked() => {
+                assert_eq!(message.headers["x-request-id"], format!("{:016x}", number + 1));
+                say(&mut anew, TAKEN).await;
+                assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+                assert_eq!(client.heard().await.expect("an answer").status(), 200);
+            }
+            // It was written before the close was seen, which leaves open whether it ran, or given back
+            // unwritten. What comes next is the next job.
+            answer = client.heard() => {
+                assert!(matches!(answer.expect("an answer").status(), 500 | 503));
+            }
+        }
+    }
+}
+
+// Guards against a repeat that is written after its window, where this process stood still between the
+// decision and the write.
+#[tokio::test]
+async fn a_keyed_job_is_written_in_time_or_not_at_all() {
+    let mut server = Party::new().await;
+    let config = platform::read_start(&config(server.address, server.address, &list(1, true, &[])));
+    let given = config.expect("it is good").given;
+    let entries = Arc::new(ServiceEntries::new(&given.node));
+    let told = json::parse(&list(2, true, &[member("r0", server.address, "SERVING")]));
+    entries.take(&told.and_then(|told| platform::read_list(&told)).expect("a list"));
+    let real_servers = RealServers::new(&given.node, entries, 1024);
+    let keyed = Effect::Keyed { scope: KeyScope::All, window: 9_000_000 };
+    for (effect, late) in [(keyed, true), (keyed, false), (Effect::Safe, true)] {
+        let (headers, body) = (Default::default(), "hi".into());
+        let path = "/keyed/k".parse().expect("a path");
+        let order = Order { id: String::new(), path, headers, effect, body, room: None };
+        let mut handed = real_servers.hand_over(WorkerId(0), &order, from_now(9_000_000));
+        assert!((&mut handed).now_or_never().is_none(), "it waits for a connection");
+        if late {
+            std::thread::sleep(Duration::from_micros(given.node.connect_within) + Duration::from_millis(100));
+        }
+        let took = async { server.asked().await.answer("202 Accepted", "", "") };
+        if late && effect == keyed {
+            tokio::select! {
+                ended = handed => assert_eq!(ended, Err((Outcome::Moot, None))),
+                () = took => panic!("it was written late"),
+            }
+        } else {
+            assert_eq!(tokio::join!(handed, took).0, Ok(()));
+        }
+    }
+    assert!(server.idle(), "nothing came late");
+}
+
+// Guards against real servers that stay silent and keep the places of hand-overs for good.
+#[tokio::test]
+async fn silent_real_servers_give_their_places_back_at_the_deadline() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start_by("exec \"$PROGRAM\"", 64, &[server.address]).await;
+    let mut clients = Vec::new();
+    let mut silent = Vec::new();
+    for number in 80..88 {
+        let mut client = scheduler.client().await;
+        client.job("once", number, 1500).await;
+        silent.push(server.asked().await);
+        clients.push(client);
+    }
+    for client in &mut clients {
+        assert_eq!(client.heard().await.expect("an answer").status(), 500);
+    }
+    for asked in silent {
+        asked.closed().await;
+    }
+    let mut client = scheduler.client().await;
+    scheduler.serves(&mut client, &mut server, 88, DONE).await;
+}
+
+// Guards against a request that is written to a connection which the real server is closing for its age.
+#[tokio::test]
+async fn a_kept_connection_is_closed_here_before_the_real_servers_limit() {
+    let server = RawServer::new();
+    let scheduler = edited("s/\"keepalive_s\":5/\"keepalive_s\":1/", 1024, &[server.address]).await;
+    let mut client = scheduler.client().await;
+    for number in 90..92 {
+        client.job("once", number, 9000).await;
+        let (mut connection, message) = server.asked().await;
+        say(&mut connection, TAKEN).await;
+        assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+        // It never answers the end of the stream: the other side closes by itself.
+        assert_eq!(rest(&mut connection).await, "");
+    }
+}
+
+// Guards against what of one job passes on with the next on the same connection.
+#[tokio::test]
+async fn jobs_on_one_connection_pass_on_each_with_its_own() {
+    let mut server = Party::new().await;
+    let scheduler = Scheduler::start(&[server.address]).await;
+    let mut client = scheduler.client().await;
+    let jobs = [
+        ("once", 9000, "Idempotency-Key: k7\r\nX-Attrs: width=2\r\n"),
+        ("keyed", 4000, "Idempotency-Key: k8\r\nX-Retried: 1\r\n"),
+        ("safe", 6000, "X-Other: 3\r\n"),
+        ("safe", 3000, ""),
+    ];
+    let long = "x".repeat(65_536);
+    let names = ["idempotency-key", "x-attrs", "x-retried", "x-other"];
+    let mut connection = None;
+    for (number, (class, millis, own)) in (100..).zip(jobs) {
+        let text = job(class, number, millis).replace("Idempotency-Key: k7\r\n", own);
+        let (text, body) = match own {
+            "" => (text.replace("Length: 2\r\n\r\nhi", &format!("Length: 65536\r\n\r\n{long}")), &*long),
+            _ => (text, "hi"),
+        };
+        client.send(&text).await;
+        let asked = server.asked().await;
+        assert_eq!(*connection.get_or_insert(asked.from), asked.from, "one connection carries all");
+        assert_eq!(asked.message.first, format!("POST /{class}/k?q=1 HTTP/1.1"));
+        assert!(asked.message.body == body, "{class}: the body is whole");
+        let headers = &asked.message.headers;
+        for name in names {
+            let told = own.lines().find_map(|line| {
+                line.split_once(": ")
+                    .filter(|(own, _)| own.to_ascii_lowercase() == name)
+                    .map(|(_, value)| value)
+            });
+            assert_eq!(headers.get(name).map(String::as_str), told, "{class}: {name}");
+        }
+        let left: u64 = headers["x-timeout"].strip_suffix('m').and_then(|m| m.parse().ok()).expect("ms");
+        assert!((millis - 1000..millis).contains(&left), "{class}: {left} of {millis}");
+        let id = asked.accept();
+        assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+    // An empty body passes on as such, and the connection lives on.
+    for number in 110..112 {
+        client.send(&empty(job("once", number, 9000))).await;
+        let asked = server.asked().await;
+        assert_eq!(connection, Some(asked.from));
+        assert_eq!(asked.message.headers.get("content-length").map(String::as_str), Some("0"));
+        assert!(!asked.message.headers.contains_key("transfer-encoding"));
+        let id = asked.accept();
+        assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
+        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    }
+}
--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -51,6 +51,11 @@
     Some(Message { first: first.trim().to_owned(), headers, body: String::from_utf8(body).expect("UTF-8") })
 }
 
+/// The next request on a connection that a test plays byte by byte; nothing if it ended.
+pub async fn request(connection: &mut BufReader<TcpStream>) -> Option<Message> {
+    within("a request or the connection's end", read(connection)).await
+}
+
 /// A request that reached a party, to be answered; dropped, its connection closes.
 pub struct Asked {
     pub message: Message,
--- a/crates/node/src/back/http.rs
+++ b/crates/node/src/back/http.rs
@@ -3,7 +3,9 @@
 use std::collections::{HashMap, HashSet};
 use std::error::Error as _;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,10 +14,14 @@
 use copperspread_settings::json::{self, field, need, number, text};
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::CONTENT_LENGTH;
 use hyper::http::Extensions;
 use hyper::http::uri::{Authority, PathAndQuery, Uri};
 use hyper::{HeaderMap, Method, Request, StatusCode};
-use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, HttpInfo, capture_connection};
+use hyper_util::client::legacy::connect::{
+    CaptureConnection, Connected, HttpConnector, HttpInfo, capture_connection,
+};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tinyjson::JsonValue;
@@ -37,6 +43,12 @@
 const LATE_PROBE: Micros = 4 * SECOND;
 /// Longest body of an answer that is read.
 const LONGEST_BODY: usize = 64 * 1024;
+/// Longest head of an answer that is read. Guards against heads without end, one on each connection.
+const LONGEST_HEAD: usize = 32 * 1024;
+/// The rest of an answer whose head has told the outcome is read for so long, then its connection is closed.
+const REST_WITHIN: Micros = 100_000;
+/// A second answer to a request may follow the first by so much: the protocol's slack on time limits.
+const STRAY_WITHIN: Micros = 50_000;
 /// Share of the real servers' keep-alive for which idle connections are kept here.
 const KEEP_SHARE: f64 = 0.9;
 /// ... and at least this much less, since a request may be on its way when they close.
@@ -157,13 +169,78 @@
 }
 
 /// What a broken hand-over means. It never ran only where the protocol proves it: no connection
-/// came up, or the client's library gave the request back unwritten. In doubt it is a reset.
+/// came up, its body was withheld, or the client's library gave the request back unwritten. In doubt
+/// it is a reset.
 fn broken(error: &Error) -> Outcome {
-    let unwritten = error
-        .source()
-        .and_then(|source| source.downcast_ref::<hyper::Error>())
-        .is_some_and(hyper::Error::is_canceled);
-    if error.is_connect() || unwritten { Outcome::ConnectFailed } else { Outcome::Reset }
+    let cause = error.source().and_then(|source| source.downcast_ref::<hyper::Error>());
+    let withheld = cause.and_then(|cause| cause.source()).is_some_and(|source| source.is::<Withheld>());
+    match cause {
+        _ if withheld => Outcome::Moot,
+        _ if error.is_connect() => Outcome::ConnectFailed,
+        Some(cause) if cause.is_canceled() => Outcome::ConnectFailed,
+        _ => Outcome::Reset,
+    }
+}
+
+/// Until when, and while which service entry serves where, a hand-over may be written.
+struct Leave {
+    entries: Arc<ServiceEntries>,
+    worker: WorkerId,
+    address: Authority,
+    until: Instant,
+}
+
+impl Leave {
+    fn holds(&self) -> bool {
+        let there = |address| address == self.address;
+        Instant::now() < self.until && self.entries.serving(self.worker).is_some_and(there)
+    }
+}
+
+/// Why a body was not given out.
+#[derive(Debug)]
+struct Withheld;
+
+impl std::fmt::Display for Withheld {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("its time is over, or its real server takes nothing new there")
+    }
+}
+
+impl std::error::Error for Withheld {}
+
+/// A request's body, which a connection's task asks for in the step that writes the head, and before any of
+/// it is flushed. Guards against a hand-over that waited for its connection, new or kept, while discovery told
+/// that the real server drains or moved, or while its time ran out: without its last byte it never runs.
+struct GuardedBody {
+    body: Full<Bytes>,
+    leave: Option<Leave>,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = Withheld;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Withheld>>> {
+        if self.leave.take().is_some_and(|leave| !leave.holds()) {
+            return Poll::Ready(Some(Err(Withheld)));
+        }
+        Pin::new(&mut self.body).poll_frame(context).map_err(|never| match never {})
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream() && self.leave.is_none()
+    }
+
+    // An empty body is asked for its length alone: one that is withheld tells none, and is asked for after all.
+    fn size_hint(&self) -> SizeHint {
+        let empty = self.body.is_end_stream();
+        let withheld = empty && self.leave.as_ref().is_some_and(|leave| !leave.holds());
+        if withheld { SizeHint::default() } else { self.body.size_hint() }
+    }
 }
 
 /// How long an idle connection is kept here, when the real servers keep theirs for so long.
@@ -187,6 +264,21 @@
     (sockets / 192).clamp(1, 8)
 }
 
+/// Whether a job that may have run may go on at any real server.
+fn goes_anywhere(effect: Effect) -> bool {
+    matches!(effect, Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. })
+}
+
+/// How a connection carried a request.
+enum Carried {
+    /// It brought the usual answer, and carries the next one.
+    Well,
+    /// It brought another answer, and carries no more.
+    Doubtful,
+    /// It broke.
+    Broke,
+}
+
 /// What is known of kept connections: who used them last, and whether they can be relied on.
 struct Kept {
     used: HashMap<SocketAddr, Instant>,
@@ -202,14 +294,16 @@
 
 /// The client's side of all real servers.
 pub struct RealServers {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<HttpConnector, GuardedBody>,
     /// Opens a connection for each request.
-    anew: Client<HttpConnector, Full<Bytes>>,
+    anew: Client<HttpConnector, GuardedBody>,
     kept: Mutex<Kept>,
     keepalive: Duration,
+    /// A hand-over of a keyed job that may have run before is written within this, or not at all.
+    written_within: Duration,
     entries: Arc<ServiceEntries>,
     /// Hand-overs that may be under way at once: an eighth of the descriptors.
-    places: Semaphore,
+    places: Arc<Semaphore>,
     /// The real servers that have a probe unanswered, and how many may.
     probed: Arc<Mutex<HashSet<WorkerId>>>,
     most_probed: usize,
@@ -241,6 +335,7 @@
                 .pool_max_idle_per_host(most_idle)
                 // Guards against a second copy that nobody decided: the library never resends.
                 .retry_canceled_requests(false)
+                .http1_max_buf_size(LONGEST_HEAD)
                 .build(connector.clone())
         };
         RealServers {
@@ -248,8 +343,9 @@
             anew: client(0),
             kept: Mutex::new(Kept { used: HashMap::new(), doubted_until: None }),
             keepalive: Duration::from_micros(settings.keepalive),
+            written_within: Duration::from_micros(settings.connect_within + HAND_OVER_SLACK / 2),
             entries,
-            places: Semaphore::new(hand_overs(sockets)),
+            places: Arc::new(Semaphore::new(hand_overs(sockets))),
             probed: Arc::default(),
             most_probed: probes(sockets),
         }
@@ -259,48 +355,67 @@
     /// the next request, after which a job that must run once may not go on, and one whose repeats only
     /// some real servers drop may go to few: while they are doubted, such a job gets a connection of its
     /// own.
-    fn client_for(&self, order: &Order) -> &Client<HttpConnector, Full<Bytes>> {
+    fn client_for(&self, order: &Order) -> &Client<HttpConnector, GuardedBody> {
         let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         let doubted = kept.doubted_until.is_some_and(|until| Instant::now() < until);
-        let free = matches!(order.effect, Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. });
-        if doubted && !free { &self.anew } else { &self.client }
+        if doubted && !goes_anywhere(order.effect) { &self.anew } else { &self.client }
     }
 
-    /// A connection has carried a request, which ended well or in a break.
-    fn carried(&self, connection: &CaptureConnection, well: bool) {
-        let Some(address) = local_address(connection) else { return };
+    /// A connection has carried a request; tells when it carried the one before.
+    fn carried(&self, connection: &CaptureConnection, how: Carried) -> Option<Instant> {
+        let address = local_address(connection)?;
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
-        let again = kept.used.remove(&address).is_some();
-        if well {
-            if kept.used.len() >= USED_MOST {
-                kept.used.retain(|_, used| now.duration_since(*used) < self.keepalive);
+        let before = kept.used.remove(&address);
+        match how {
+            Carried::Well => {
+                if kept.used.len() >= USED_MOST {
+                    kept.used.retain(|_, used| now.duration_since(*used) < self.keepalive);
+                }
+                kept.used.insert(address, now);
+            }
+            // Guards against a second answer that comes a little after the first: the next request's own it
+            // would seem, and all later ones would be off by one.
+            Carried::Doubtful => connection.connection_metadata().iter().for_each(Connected::poison),
+            Carried::Broke if before.is_some() => {
+                kept.doubted_until = Some(now + Duration::from_micros(DOUBT));
+                note(
+                    "a kept connection broke under its next request",
+                    "jobs that may not go anywhere get new ones",
+                );
             }
-            kept.used.insert(address, now);
-        } else if again {
-            kept.doubted_until = Some(now + Duration::from_micros(DOUBT));
-            note(
-                "a kept connection broke under its next request",
-                "jobs that may not go anywhere get new ones",
-            );
+            Carried::Broke => {}
         }
+        before
     }
 
     /// Hands a scheduling over; returns once the real server has taken it, or how it ended.
     async fn hand_over_now(&self, worker: WorkerId, order: &Order, deadline: Instant) -> Handed {
         // Guards against new work for a real server of which discovery told, after the module
-        // chose it, that it drains or is gone.
+        // chose it, that it drains or is gone. The body asks again as it is written.
         let Some(address) = self.entries.serving(worker) else { return Err((Outcome::Moot, None)) };
         // Guards against real servers that fall silent by the dozen and hold the descriptors that
         // call-backs need. As where none is left, no connection comes up.
-        let Ok(_place) = self.places.try_acquire() else { return Err((Outcome::ConnectFailed, None)) };
-        let left = deadline.saturating_duration_since(Instant::now()).as_millis();
-        let (Some(mut request), true) =
-            (request(Method::POST, address, order.path.clone(), order.body.clone()), left > 0)
+        let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else {
+            return Err((Outcome::ConnectFailed, None));
+        };
+        let began = Instant::now();
+        let left = deadline.saturating_duration_since(began).as_millis();
+        // Guards against a repeat that is written after the real servers have forgotten its key: the module
+        // has left this much of the window.
+        let until = match order.effect {
+            Effect::Keyed { .. } => deadline.min(began + self.written_within),
+            _ => deadline,
+        };
+        let leave = Leave { entries: Arc::clone(&self.entries), worker, address: address.clone(), until };
+        let body = GuardedBody { body: Full::new(order.body.clone()), leave: Some(leave) };
+        let (Some(mut request), true) = (request(Method::POST, address, order.path.clone(), body), left > 0)
         else {
             return Err((Outcome::Moot, None));
         };
         *request.headers_mut() = order.headers.clone();
+        // The body tells it.
+        request.headers_mut().remove(CONTENT_LENGTH);
         if let Ok(value) = format!("{left}m").parse() {
             request.headers_mut().insert("x-timeout", value);
         }
@@ -308,17 +423,36 @@
         let response = match self.client_for(order).request(request).await {
             Ok(response) => response,
             Err(error) => {
-                self.carried(&connection, false);
-                return Err((broken(&error), None));
+                let outcome = broken(&error);
+                if outcome != Outcome::Moot {
+                    self.carried(&connection, Carried::Broke);
+                }
+                return Err((outcome, None));
             }
         };
+        // The head tells all. Guards against an answer whose body never ends, under a job whose outcome is known.
         let (head, body) = response.into_parts();
+        let Some(mut outcome) = read_answer(head.status, &head.headers) else {
+            self.carried(&connection, Carried::Well);
+            // Read to the end, so that the connection can carry the next request; until then it has its place.
+            if !body.is_end_stream() {
+                let rest = Limited::new(body, LONGEST_BODY).collect();
+                let rest = timeout_at(from_now(REST_WITHIN), rest);
+                tokio::spawn(async move {
+                    let _ = rest.await;
+                    drop(place);
+                });
+            }
+            return Ok(());
+        };
+        let before = self.carried(&connection, Carried::Doubtful);
+        // Guards against a second run on the word of an answer that may be the last request's second one.
+        let stray = before.is_some_and(|before| began < before + Duration::from_micros(STRAY_WITHIN));
+        if stray && outcome.never_ran() && !goes_anywhere(order.effect) {
+            outcome = Outcome::Error;
+        }
         let report = head.headers.get("x-server-load").and_then(|value| value.to_str().ok());
-        let report = report.and_then(load_header);
-        // Read to the end, so that the connection can carry the next request.
-        let _ = Limited::new(body, LONGEST_BODY).collect().await;
-        self.carried(&connection, true);
-        read_answer(head.status, &head.headers).map_or(Ok(()), |outcome| Err((outcome, report)))
+        Err((outcome, report.and_then(load_header)))
     }
 }
 
@@ -333,8 +467,7 @@
     async fn probe_now(&self, worker: WorkerId, by: Instant) -> (Outcome, Option<Report>) {
         let Some(probing) = self.begin_probe(worker) else { return (Outcome::Moot, None) };
         let path = PathAndQuery::from_static(PROBE_PATH);
-        let request =
-            self.entries.serving(worker).and_then(|at| request(Method::GET, at, path, Bytes::new()));
+        let request = self.entries.serving(worker).and_then(|at| request(Method::GET, at, path, nothing()));
         let Some(mut request) = request else { return (Outcome::Moot, None) };
         let connection = capture_connection(&mut request);
         let asked = self.client.request(request);
@@ -353,13 +486,13 @@
         match timeout_at(by, answer).await {
             Err(_) | Ok(Err(_)) => (Outcome::TimedOut, None),
             Ok(Ok(Err(error))) => {
-                self.carried(&connection, false);
+                self.carried(&connection, Carried::Broke);
                 (broken(&error), None)
             }
             Ok(Ok(Ok((head, body)))) => {
-                self.carried(&connection, true);
-                let well = if head.status == StatusCode::OK { Outcome::Served } else { Outcome::Error };
-                (well, load_answer(&head.headers, &body))
+                let well = head.status == StatusCode::OK;
+                self.carried(&connection, if well { Carried::Well } else { Carried::Doubtful });
+                (if well { Outcome::Served } else { Outcome::Error }, load_answer(&head.headers, &body))
             }
         }
     }
@@ -382,7 +515,7 @@
     fn give_up(&self, worker: WorkerId, order: &Order) {
         let Some(address) = self.entries.address(worker) else { return };
         let Ok(path) = format!("/jobs/{}", order.id).parse() else { return };
-        let Some(request) = request(Method::DELETE, address, path, Bytes::new()) else { return };
+        let Some(request) = request(Method::DELETE, address, path, nothing()) else { return };
         let answer = self.client.request(request);
         let by = from_now(GIVE_UP_WITHIN);
         tokio::spawn(timeout_at(by, async move {
@@ -401,8 +534,12 @@
     method: Method,
     address: Authority,
     path: PathAndQuery,
-    body: Bytes,
-) -> Option<Request<Full<Bytes>>> {
+    body: GuardedBody,
+) -> Option<Request<GuardedBody>> {
     let uri = Uri::builder().scheme("http").authority(address).path_and_query(path).build().ok()?;
-    Request::builder().method(method).uri(uri).body(Full::new(body)).ok()
+    Request::builder().method(method).uri(uri).body(body).ok()
+}
+
+fn nothing() -> GuardedBody {
+    GuardedBody { body: Full::default(), leave: None }
 }
