Write a hand-over only while its flow still wants it

Seen: where the settings allow no attempt to be called off, a connection to a real server that came up after the client had gone was written to all the same (forced: a second later), and so was a second copy whose connection came up after the answer. At fault: flow.rs, Mail::Gone and close, which left a hand-over that still connected to go on; ruled out: with may_cancel the module calls it off, and the connect is dropped.

Change: the flow gives its back a word (order.rs, Wanted) that it takes back in the same step as the answer's sender; the back asks it in the step that writes (back/http.rs, Leave). The hand-over then ends as Moot, told to the module.

Test: client_moments.rs, a_connection_that_comes_up_after_its_client_went_carries_nothing; without the line in Leave::holds it fails (left: 1 byte, right: 0, with may_cancel false). Existing calls of hand_over in scheduler.rs, doors.rs and hand_over_moments.rs got the new argument, nothing else.

--- a/crates/copperspread/tests/client_moments.rs
+++ b/crates/copperspread/tests/client_moments.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sockets::*;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 const DONE: &str = r#""state":"done","result":"ok""#;
@@ -39,6 +40,13 @@
         self.listener.local_addr().expect("an address")
     }
 
+    /// Accepts what has filled the queue.
+    async fn empty(&mut self) {
+        for _ in 0..self.queue.len() {
+            within("a connection", self.listener.accept()).await.expect("a connection");
+        }
+    }
+
     /// Accepts what waits; then the next connection that says something, or is closed by its other end.
     async fn next(&mut self) -> (TcpStream, usize) {
         loop {
@@ -129,6 +137,39 @@
     assert!(server.idle());
 }
 
+// The connection to the real server comes up a second after the client went, also where the settings allow no
+// attempt to be called off.
+#[tokio::test]
+async fn a_connection_that_comes_up_after_its_client_went_carries_nothing() {
+    for may_cancel in [true, false] {
+        let mut server = Crowded::new().await;
+        let scheduler = Scheduler::start_with(&[server.address()], |config| {
+            let config = config.replace("\"connect_timeout_s\":0.25", "\"connect_timeout_s\":5");
+            config.replace("\"may_cancel\":true", &format!("\"may_cancel\":{may_cancel}"))
+        })
+        .await;
+        let mut client = scheduler.client().await;
+        client.job("safe", 1, 9000).await;
+        assert_eq!(scheduler.client().await.ask(READY).await.status(), 200);
+        drop(client);
+        assert_eq!(scheduler.client().await.ask(READY).await.status(), 200);
+        if may_cancel {
+            // Called off, it connects no more.
+            server.empty().await;
+            let mut other = scheduler.client().await;
+            other.job("safe", 2, 9000).await;
+            let (mut stream, count) = server.next().await;
+            assert_eq!(count, 1);
+            let mut head = [0; 4096];
+            let count = within("a job", stream.read(&mut head)).await.expect("a job");
+            assert!(String::from_utf8_lossy(&head[..count]).contains(&format!("{:016x}", 2)));
+        } else {
+            let (_stream, count) = server.next().await;
+            assert_eq!(count, 0, "it is closed with nothing written");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_burst_of_leavers_is_given_up_to_the_last() {
     let mut server = Party::new().await;
--- a/crates/copperspread/tests/hand_over_moments.rs
+++ b/crates/copperspread/tests/hand_over_moments.rs
@@ -4,7 +4,7 @@
 
 use copperspread_decisions::{Effect, KeyScope, Outcome, WorkerId};
 use copperspread_node::back::{Back, http::RealServers};
-use copperspread_node::{clock::from_now, entries::ServiceEntries, order::Order};
+use copperspread_node::{clock::from_now, entries::ServiceEntries, order::Order, order::Wanted};
 use copperspread_settings::{json, platform};
 use futures_util::FutureExt;
 use sockets::*;
@@ -389,7 +389,8 @@
         let (headers, body) = (Default::default(), "hi".into());
         let path = "/keyed/k".parse().expect("a path");
         let order = Order { id: String::new(), path, headers, effect, body, room: None };
-        let mut handed = real_servers.hand_over(WorkerId(0), &order, from_now(9_000_000));
+        let wanted = Wanted::default();
+        let mut handed = real_servers.hand_over(WorkerId(0), &order, from_now(9_000_000), &wanted);
         assert!((&mut handed).now_or_never().is_none(), "it waits for a connection");
         if late {
             std::thread::sleep(Duration::from_micros(given.node.connect_within) + Duration::from_millis(100));
--- a/crates/copperspread/tests/scheduler.rs
+++ b/crates/copperspread/tests/scheduler.rs
@@ -333,6 +333,7 @@
     let config = platform::read_start(&config(server.address, server.address, &list(1, true, &[])))
         .expect("it is good");
     let entries = std::sync::Arc::new(ServiceEntries::new(&config.given.node));
+    let wanted = copperspread_node::order::Wanted::default();
     let real_servers = RealServers::new(&config.given.node, entries.clone(), 32);
     let (headers, body) = (Default::default(), Default::default());
     let order = Order {
@@ -346,14 +347,14 @@
     for (revision, phase) in [(2, "DRAINING"), (3, "DELETED")] {
         let told = json::parse(&list(revision, true, &[member("r0", server.address, phase)]));
         entries.take(&told.and_then(|told| platform::read_list(&told)).expect("a list"));
-        let ended = real_servers.hand_over(WorkerId(0), &order, from_now(9_000_000)).await;
+        let ended = real_servers.hand_over(WorkerId(0), &order, from_now(9_000_000), &wanted).await;
         assert_eq!(ended, Err((Outcome::Moot, None)));
     }
     assert!(server.idle());
     // Real servers that stay silent hold four hand-overs, all that 32 descriptors allow.
     let told = json::parse(&list(4, true, &[member("r0", server.address, "SERVING")]));
     entries.take(&told.and_then(|told| platform::read_list(&told)).expect("a list"));
-    let hand_over = || real_servers.hand_over(WorkerId(0), &order, from_now(9_000_000));
+    let hand_over = || real_servers.hand_over(WorkerId(0), &order, from_now(9_000_000), &wanted);
     let four = futures_util::future::select_all((0..4).map(|_| Box::pin(hand_over())));
     let fifth = async {
         let mut held = Vec::new();
--- a/crates/node/src/back/http.rs
+++ b/crates/node/src/back/http.rs
@@ -33,7 +33,7 @@
 use crate::decisions::Decisions;
 use crate::entries::ServiceEntries;
 use crate::invariant::note;
-use crate::order::{Handed, News, Order, request_id};
+use crate::order::{Handed, News, Order, Wanted, request_id};
 
 /// Where real servers call back.
 pub const CALL_BACK_PATH: &str = "/_jobs/news";
@@ -182,8 +182,9 @@
     }
 }
 
-/// Until when, and while which service entry serves where, a hand-over may be written.
+/// Until when, and while which service entry serves where, a hand-over may be written that is wanted.
 struct Leave {
+    wanted: Wanted,
     entries: Arc<ServiceEntries>,
     worker: WorkerId,
     address: Authority,
@@ -193,7 +194,9 @@
 impl Leave {
     fn holds(&self) -> bool {
         let there = |address| address == self.address;
-        Instant::now() < self.until && self.entries.serving(self.worker).is_some_and(there)
+        self.wanted.holds()
+            && Instant::now() < self.until
+            && self.entries.serving(self.worker).is_some_and(there)
     }
 }
 
@@ -203,7 +206,7 @@
 
 impl std::fmt::Display for Withheld {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("its time is over, or its real server takes nothing new there")
+        f.write_str("its time is over, nobody waits for it, or its real server takes nothing new there")
     }
 }
 
@@ -390,7 +393,13 @@
     }
 
     /// Hands a scheduling over; returns once the real server has taken it, or how it ended.
-    async fn hand_over_now(&self, worker: WorkerId, order: &Order, deadline: Instant) -> Handed {
+    async fn hand_over_now(
+        &self,
+        worker: WorkerId,
+        order: &Order,
+        deadline: Instant,
+        wanted: &Wanted,
+    ) -> Handed {
         // Guards against new work for a real server of which discovery told, after the module
         // chose it, that it drains or is gone. The body asks again as it is written.
         let Some(address) = self.entries.serving(worker) else { return Err((Outcome::Moot, None)) };
@@ -407,7 +416,8 @@
             Effect::Keyed { .. } => deadline.min(began + self.written_within),
             _ => deadline,
         };
-        let leave = Leave { entries: Arc::clone(&self.entries), worker, address: address.clone(), until };
+        let (wanted, entries) = (wanted.clone(), Arc::clone(&self.entries));
+        let leave = Leave { wanted, entries, worker, address: address.clone(), until };
         let body = GuardedBody { body: Full::new(order.body.clone()), leave: Some(leave) };
         let (Some(mut request), true) = (request(Method::POST, address, order.path.clone(), body), left > 0)
         else {
@@ -508,8 +518,9 @@
         worker: WorkerId,
         order: &'a Order,
         deadline: Instant,
+        wanted: &'a Wanted,
     ) -> BoxFuture<'a, Handed> {
-        Box::pin(self.hand_over_now(worker, order, deadline))
+        Box::pin(self.hand_over_now(worker, order, deadline, wanted))
     }
 
     fn give_up(&self, worker: WorkerId, order: &Order) {
--- a/crates/node/src/back/mod.rs
+++ b/crates/node/src/back/mod.rs
@@ -5,20 +5,21 @@
 use futures_util::future::BoxFuture;
 use tokio::time::Instant;
 
-use crate::order::{Handed, Order};
+use crate::order::{Handed, Order, Wanted};
 
 pub mod http;
 
 /// A workers' protocol. It decides nothing: it never sends an order twice, and says "never ran" only
 /// where its protocol proves it.
 pub trait Back: Send + Sync + 'static {
-    /// Hands a scheduling over. The future is dropped where the flow no longer waits; what the real
-    /// server then still has of it is given up by that.
+    /// Hands a scheduling over, and writes it only while it is wanted. The future is dropped where the flow
+    /// no longer waits; what the real server then still has of it is given up by that.
     fn hand_over<'a>(
         &'a self,
         worker: WorkerId,
         order: &'a Order,
         deadline: Instant,
+        wanted: &'a Wanted,
     ) -> BoxFuture<'a, Handed>;
 
     /// Tells a real server that a scheduling it has taken is no longer waited for. Does not wait.
--- a/crates/node/src/flow.rs
+++ b/crates/node/src/flow.rs
@@ -13,7 +13,7 @@
 use crate::ending::earlier;
 use crate::invariant;
 use crate::node::Node;
-use crate::order::{Answer, Demand, Mail, News};
+use crate::order::{Answer, Demand, Mail, News, Wanted};
 
 /// A front's hold on a flow: its answer, and word to the flow when the client goes first.
 pub struct Held {
@@ -44,6 +44,7 @@
         node: Arc::clone(node),
         demand,
         answer: Some(sender),
+        wanted: Wanted::default(),
         schedulings: Vec::new(),
         taken_at: node.clock.now(),
     };
@@ -69,6 +70,8 @@
     node: Arc<Node>,
     demand: Demand,
     answer: Option<oneshot::Sender<Answer>>,
+    /// Taken back with the answer's sender: what has not been written by then is not.
+    wanted: Wanted,
     schedulings: Vec<Scheduling>,
     taken_at: Micros,
 }
@@ -91,17 +94,19 @@
         let mut hand_overs = FuturesUnordered::new();
         while self.lives(&mail) || !hand_overs.is_empty() {
             tokio::select! {
+                // Mail comes first: guards against an attempt's end that the module answers with a further
+                // attempt although word that the client has gone is waiting.
                 biased;
                 Some(mail) = mail.recv() => match mail {
                     Mail::Send(worker) => {
                         let number = self.schedulings.len() as u32;
                         let repeated = self.schedulings.iter().any(|s| s.worker == worker);
                         invariant!(!repeated, "a flow has one scheduling at a real server");
-                        let (node, order) = (Arc::clone(&node), Arc::clone(&order));
+                        let (node, order, wanted) = (Arc::clone(&node), Arc::clone(&order), self.wanted.clone());
                         let name = self.node.back.name(worker);
                         let span = info_span!("scheduling", number, real_server = &*name);
                         let hand_over = async move {
-                            let handed = node.back.hand_over(worker, &order, deadline).await;
+                            let handed = node.back.hand_over(worker, &order, deadline, &wanted).await;
                             debug!(taken = handed.is_ok(), "handed over");
                             handed
                         };
@@ -120,7 +125,7 @@
                     Mail::Cancel(number) => self.give_up(number, Outcome::Cancelled),
                     Mail::News(worker, news) => self.hear(worker, news),
                     Mail::Gone => {
-                        if self.answer.take().is_some() {
+                        if self.owed().is_some() {
                             self.tell_answer("gone");
                             node.decisions.gone(request);
                         }
@@ -158,8 +163,14 @@
         self.answer.is_some() || self.schedulings.iter().any(|s| s.out) || !mail.is_empty()
     }
 
+    /// Takes what is owed to the client, once; nothing more begins for it.
+    fn owed(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.wanted.take_back();
+        self.answer.take()
+    }
+
     fn close(&mut self, answer: Answer) {
-        if let Some(sender) = self.answer.take() {
+        if let Some(sender) = self.owed() {
             debug!(answer = answer.word(), "final answer");
             self.tell_answer(answer.word());
             let _ = sender.send(answer);
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -2,6 +2,7 @@
 //! say of it, and the final answer. The forms are HTTP's own message parts, since the platform wants
 //! path and headers passed on unchanged; a protocol that has none leaves them empty.
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use copperspread_decisions::{Effect, Job, Micros, Outcome, Progress, Report, RequestId, WorkerId};
@@ -30,6 +31,24 @@
     pub room: Room,
 }
 
+/// A flow's word that its hand-overs are still to be written, which it takes back once for all. A back asks
+/// in the step in which it writes. Guards against attempts that begin for a client that has gone, or that has
+/// its answer, because their connection came up late.
+#[derive(Clone, Debug, Default)]
+pub struct Wanted(Arc<AtomicBool>);
+
+impl Wanted {
+    /// Takes the word back.
+    pub fn take_back(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it still holds.
+    pub fn holds(&self) -> bool {
+        !self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// What a flow begins with.
 #[derive(Clone, Debug)]
 pub struct Demand {
--- a/crates/node/tests/doors.rs
+++ b/crates/node/tests/doors.rs
@@ -14,7 +14,7 @@
 use copperspread_node::flow;
 use copperspread_node::front::Front;
 use copperspread_node::node::Node;
-use copperspread_node::order::{Answer, Demand, Handed, News, Order};
+use copperspread_node::order::{Answer, Demand, Handed, News, Order, Wanted};
 use copperspread_node::source::fixed::Fixed;
 use copperspread_node::source::{Membership, Source};
 use copperspread_node::witness::Witness;
@@ -33,7 +33,13 @@
 }
 
 impl Back for MemoryBack {
-    fn hand_over<'a>(&'a self, worker: WorkerId, _: &'a Order, _: Instant) -> BoxFuture<'a, Handed> {
+    fn hand_over<'a>(
+        &'a self,
+        worker: WorkerId,
+        _: &'a Order,
+        _: Instant,
+        _: &'a Wanted,
+    ) -> BoxFuture<'a, Handed> {
         Box::pin(async move {
             self.handed.lock().expect("a lock").push(worker);
             self.script.lock().expect("a lock").pop_front().unwrap_or(Ok(()))
