Tell the laboratory's decisions the connect timeout, and finish the hand-overs' tests

both_drives_give_schedulers_the_same_settings failed since the module is told the connect timeout: the drive in virtual time told it 0. Rest: lines rewrapped.

--- a/crates/copperspread/tests/hand_over_moments.rs
+++ b/crates/copperspread/tests/hand_over_moments.rs
@@ -345,34 +345,48 @@
     let server = RawServer::new();
     let scheduler = Scheduler::start(&[server.address]).await;
     let mut client = scheduler.client().await;
-    for number in (200..206_u64).step_by(2) {
-        client.job("once", number, 9000).await;
-        let (mut kept, message) = server.asked().await;
-        assert_eq!(message.headers["x-request-id"], format!("{number:016x}"));
-        say(&mut kept, TAKEN).await;
-        assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
-        assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    client.job("once", 200, 9000).await;
+    let mut kept = served(server.asked().await, &scheduler, &mut client, 200).await;
+    for number in 201..204 {
         scheduler.signal("STOP").await;
         drop(kept);
-        client.job("once", number + 1, 9000).await;
+        client.job("once", number, 9000).await;
         scheduler.signal("CONT").await;
-        tokio::select! {
+        let asked = tokio::select! {
             // It went out anew, and the closed connection took nothing of it.
-            (mut anew, message) = server.asked() => {
-                assert_eq!(message.headers["x-request-id"], format!("{:016x}", number + 1));
-                say(&mut anew, TAKEN).await;
-                assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
-                assert_eq!(client.heard().await.expect("an answer").status(), 200);
-            }
-            // It was written before the close was seen, which leaves open whether it ran, or given back
-            // unwritten. What comes next is the next job.
+            asked = server.asked() => Some(asked),
             answer = client.heard() => {
+                // It was written before the close was seen, which leaves open whether it ran, or given back
+                // unwritten.
                 assert!(matches!(answer.expect("an answer").status(), 500 | 503));
+                None
             }
-        }
+        };
+        kept = match asked {
+            Some(asked) => served(asked, &scheduler, &mut client, number).await,
+            None => {
+                // What comes next is the next job.
+                client.job("once", number + 100, 9000).await;
+                served(server.asked().await, &scheduler, &mut client, number + 100).await
+            }
+        };
     }
 }
 
+/// A job goes its usual way; returns its connection.
+async fn served(
+    (mut connection, message): (Connection, Message),
+    scheduler: &Scheduler,
+    client: &mut Client,
+    number: u64,
+) -> Connection {
+    assert_eq!(message.headers["x-request-id"], format!("{number:016x}"));
+    say(&mut connection, TAKEN).await;
+    assert_eq!(scheduler.call_back(&message.headers["x-request-id"], "r0", DONE).await, 204);
+    assert_eq!(client.heard().await.expect("an answer").status(), 200);
+    connection
+}
+
 // Guards against a repeat that is written after its window, where this process stood still between the
 // decision and the write.
 #[tokio::test]
--- a/crates/lab/src/emulate/program.rs
+++ b/crates/lab/src/emulate/program.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::policy::Kind;
-use crate::scenario::{Repeat, Scenario, Scope};
+use crate::scenario::{CONNECT, Repeat, Scenario, Scope};
 
 /// A program that does not say that it is ready by then is given up.
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -108,7 +108,7 @@
             "family_info": {"class_stretch": stretches, "tells_start": true},
             "permissions": {
                 "send_cap": tuning.max_attempts, "second_copies": tuning.second_copies,
-                "may_cancel": tuning.may_cancel, "connect_timeout_s": 0.25, "keepalive_s": 5.0,
+                "may_cancel": tuning.may_cancel, "connect_timeout_s": CONNECT as f64 / 1e6, "keepalive_s": 5.0,
                 "retry_after": true, "max_retry_after_s": scenario.clients.heed,
             },
             "penalties": {"cross_zone": tuning.price_cross_zone},
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -2,6 +2,9 @@
 use copperspread_decisions::{self as decisions, Effect, Micros, SECOND, Settings};
 use serde::{Deserialize, Serialize};
 
+/// A connection that is not up by then has failed.
+pub(crate) const CONNECT: Micros = 250_000;
+
 /// A scenario.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -736,6 +739,7 @@
             cold_for: micros(self.cold.warm_after),
             fall_multiple: self.cold.fall_multiple,
             fall_window: micros(self.cold.fall_seconds.max(0.001)),
+            connect_within: CONNECT,
             max_attempts: self.settings.max_attempts,
             second_copies: self.settings.second_copies,
             may_cancel: self.settings.may_cancel,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -24,12 +24,10 @@
 use crate::outcome::{End, Outcome, Played, Tally};
 use crate::policy::{Kind, Policy};
 use crate::referee::{Heard, Referee};
-use crate::scenario::{Scenario, Trouble, micros};
+use crate::scenario::{CONNECT, Scenario, Trouble, micros};
 
 /// The node's margin before the client gives up.
 const MARGIN: Micros = 50_000;
-/// A connection that is not up by then has failed.
-const CONNECT: Micros = 250_000;
 /// An idle connection is closed after so long.
 const KEEPALIVE: Micros = 5 * SECOND;
 /// A call to a discovery that is down fails after so long.
--- a/crates/node/src/back/http.rs
+++ b/crates/node/src/back/http.rs
@@ -212,9 +212,10 @@
 
 impl std::error::Error for Withheld {}
 
-/// A request's body, which a connection's task asks for in the step that writes the head, and before any of
-/// it is flushed. Guards against a hand-over that waited for its connection, new or kept, while discovery told
-/// that the real server drains or moved, or while its time ran out: without its last byte it never runs.
+/// A request's body, which a connection's task asks for in the step that writes the head, and before any
+/// of it is flushed. Guards against a hand-over that waited for its connection, new or kept, while
+/// discovery told that the real server drains or moved, or while its time ran out: without its last byte
+/// it never runs.
 struct GuardedBody {
     body: Full<Bytes>,
     leave: Option<Leave>,
@@ -238,7 +239,7 @@
         self.body.is_end_stream() && self.leave.is_none()
     }
 
-    // An empty body is asked for its length alone: one that is withheld tells none, and is asked for after all.
+    // An empty body is asked for its length alone: one that is withheld tells none, and is asked for then.
     fn size_hint(&self) -> SizeHint {
         let empty = self.body.is_end_stream();
         let withheld = empty && self.leave.as_ref().is_some_and(|leave| !leave.holds());
@@ -440,11 +441,13 @@
                 return Err((outcome, None));
             }
         };
-        // The head tells all. Guards against an answer whose body never ends, under a job whose outcome is known.
+        // The head tells all. Guards against an answer whose body never ends, under a job whose outcome is
+        // known.
         let (head, body) = response.into_parts();
         let Some(mut outcome) = read_answer(head.status, &head.headers) else {
             self.carried(&connection, Carried::Well);
-            // Read to the end, so that the connection can carry the next request; until then it has its place.
+            // Read to the end, so that the connection can carry the next request. Until then it keeps its
+            // place.
             if !body.is_end_stream() {
                 let rest = Limited::new(body, LONGEST_BODY).collect();
                 let rest = timeout_at(from_now(REST_WITHIN), rest);
