Send a cold worker nothing for one window after a dispatcher's own later start

Cause: a dispatcher that is killed amid the ramp forgets what it sent (`cold_sent` in `cold_admits`) and sends its whole part again within the window.

Change: where the worker started before the dispatcher, nothing for one window from the dispatcher's start. The bad sum can't arise: two lives are a window apart.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -863,6 +863,11 @@
         let (s, worker) = (&self.settings, &self.workers[index]);
         let from = now;
         let sent: f64 = worker.sent.iter().filter(|&&(until, _)| until > from).map(|&(_, work)| work).sum();
+        // Guards against dispatchers that restart amid the ramp: what each sent before, it has forgotten, and
+        // it may have been its whole part just then.
+        if worker.started_at < self.started_at && now < self.started_at.unwrap_or(now) + window {
+            return false;
+        }
         let slots = self.kinds[worker.kind as usize].slots.unwrap_or(1.0);
         let capacity = self.present(now.saturating_sub(window / 2), worker) * slots * worker.service_rate;
         let budget = s.fall_multiple * capacity * secs(window);
--- a/crates/decisions/tests/cold_fleet.rs
+++ b/crates/decisions/tests/cold_fleet.rs
@@ -205,6 +205,33 @@
     holds(|plan| Plan { unlike: true, ..plan }, 0.0);
 }
 
+#[test]
+fn a_tenth_restarted_amid_the_ramp_do_not_spend_their_parts_twice() {
+    holds(|plan| Plan { unlike: true, killed: 0.1, ..plan }, 0.0);
+}
+
+#[test]
+fn seven_in_ten_restarted_amid_the_ramp_do_not_spend_their_parts_twice() {
+    holds(|plan| Plan { unlike: true, killed: 0.7, ..plan }, 0.0);
+}
+
+#[test]
+fn a_dispatcher_that_started_after_a_cold_worker_sends_it_nothing_for_one_window() {
+    let mut node = Node::new(patient(1), &[]);
+    let own_start = node.now;
+    for (at, from, sends) in [
+        (0, own_start - SECOND, false),
+        (2_999 * MS, own_start - SECOND, false),
+        (3_000 * MS, own_start - SECOND, true),
+        // It can't have sent anything to one that started later.
+        (3_001 * MS, own_start + 1, true),
+    ] {
+        node.now = own_start + at;
+        node.roster(RosterKind::Full, &[WorkerEntry { started_at: Some(from), ..entry(0) }]);
+        assert_eq!(offer(&mut node, at, 0.01).is_some(), sends, "at {at}, worker started at {from}");
+    }
+}
+
 /// Guards against a mean that rests on what was believed before the first job, from which one dispatcher
 /// takes itself for the only one that shares a budget.
 #[test]
