Give dispatchers that draw their place half a part of a cold budget

Cause: where no number is told (or one beyond the fleet), `cold_place` draws the place.

Change: half a part for them, unless all share. The platform tells numbers; only installations by config draw.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -878,7 +878,10 @@
         let chance = 2.0 * (budget * self.mean_load).sqrt() + 2.0 * self.mean_load;
         let aim = (COLD_AIM * budget).min((budget + chance) / COLD_TOLD);
         let sharers = (aim / (COLD_JOBS * self.mean_load)).clamp(1.0, f64::from(s.fleet_size)).floor();
-        f64::from(place) < sharers && sent + job.work * job.slots <= aim / sharers
+        // Guards against places drawn at random, which more may hold than there are.
+        let drawn = s.number.is_none_or(|own| own >= s.fleet_size) && sharers < f64::from(s.fleet_size);
+        let part = aim / sharers * if drawn { 0.5 } else { 1.0 };
+        f64::from(place) < sharers && sent + job.work * job.slots <= part
     }
 
     // ---- Requests --------------------------------------------------------------------------
--- a/crates/decisions/tests/cold_fleet.rs
+++ b/crates/decisions/tests/cold_fleet.rs
@@ -224,6 +224,11 @@
     }
 }
 
+#[test]
+fn dispatchers_that_are_not_told_their_numbers_stay_inside_the_budget() {
+    holds(|plan| Plan { unlike: true, unnumbered: true, ..plan }, 0.0);
+}
+
 /// A dispatcher alone that has seen some jobs, before a worker starts anew.
 fn alone() -> Node {
     let mut node = Node::new(patient(1), &[entry(0)]);
