Count each request for the tenant that its X-Tenant-Id names, not for the first

Seen: read_head in front/http.rs said tenant 0 for every request, so that where a site has tenants all traffic counts as the first one's: over_share in decide.rs then takes it for beyond its share and sheds tenants that stay inside theirs.

Now: by name, or by number; one that nobody knows, or none, counts as no tenant's.

--- a/crates/node/src/front/http.rs
+++ b/crates/node/src/front/http.rs
@@ -147,7 +147,7 @@
         return (StatusCode::METHOD_NOT_ALLOWED, [(header::ALLOW, "POST")]).into_response();
     }
     let effect = node.settings.effects[class];
-    let demanded = read_head(&head.headers, class as u32).and_then(|read| {
+    let demanded = read_head(&head.headers, class as u32, &node.settings.tenants).and_then(|read| {
         // Guards against a keyed job that no real server can tell from another.
         let keyless = matches!(effect, Effect::Keyed { .. }) && !head.headers.contains_key("idempotency-key");
         if keyless { Err("no Idempotency-Key".into()) } else { Ok(read) }
@@ -174,7 +174,7 @@
 }
 
 /// The job that a request's headers describe, and the request's id as written.
-fn read_head(headers: &HeaderMap, class: u32) -> Result<(Job, String), String> {
+fn read_head(headers: &HeaderMap, class: u32, tenants: &[String]) -> Result<(Job, String), String> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
     // Guards against two ids, or two deadlines, of which the next reader may choose the other.
     for name in ["x-request-id", "x-timeout"] {
@@ -190,7 +190,7 @@
     let job = Job {
         request,
         class,
-        tenant: 0,
+        tenant: text("x-tenant-id").map_or(tenants.len(), |of| which(of, tenants)) as u32,
         slots: text("x-attrs").and_then(|attrs| attribute(attrs, &["width", "slots"])),
         cost_hint: hint.map(|micros| micros / SECOND as f64),
         time_left: left.saturating_sub(MARGIN.min(left / 4)),
@@ -198,6 +198,13 @@
     Ok((job, id.to_owned()))
 }
 
+/// Which tenant a header names, by its name or number; one that nobody knows counts as none, which is the
+/// number after the last.
+fn which(tenant: &str, tenants: &[String]) -> usize {
+    let named = tenants.iter().position(|name| name == tenant);
+    named.or_else(|| tenant.parse().ok()).unwrap_or(tenants.len()).min(tenants.len())
+}
+
 /// A number and a unit: `m` for milliseconds, `u` for microseconds. Absurd figures are cut.
 pub fn read_timeout(text: &str) -> Option<Micros> {
     let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
