--- a/crates/copperspread/tests/client_moments.rs
+++ b/crates/copperspread/tests/client_moments.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sockets::*;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 const DONE: &str = r#""state":"done","result":"ok""#;
@@ -231,6 +231,30 @@
     assert!(server.idle());
 }
 
+// A client that asks and asks and never reads: its connection stands still, and nothing else does.
+#[tokio::test]
+async fn a_client_that_never_reads_holds_up_neither_others_nor_the_end() {
+    let mut server = Party::new().await;
+    let mut scheduler = Scheduler::start(&[server.address]).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("an option");
+    let mut deaf = socket.connect(scheduler.address).await.expect("it listens");
+    let many = READY.repeat(1_000);
+    let mut sent = 0;
+    // Until nothing more goes through: the scheduler waits for its reader, and reads no more.
+    while let Ok(written) = tokio::time::timeout(SOON / 3, deaf.write_all(many.as_bytes())).await {
+        written.expect("it reads");
+        sent += 1;
+        assert!(sent < 2_000, "it reads without end");
+    }
+    let mut client = scheduler.client().await;
+    scheduler.serves(&mut client, &mut server, 1, DONE).await;
+    let since = Instant::now();
+    scheduler.terminate().await;
+    assert!(scheduler.child.wait().await.expect("it ends").success());
+    assert!(since.elapsed() < Duration::from_millis(3_700), "{:?}", since.elapsed());
+}
+
 // ---- The end ----------------------------------------------------------------------------------
 
 // Guards against the close of a connection on which a request has begun to come.
