--- a/crates/copperspread/tests/client_moments.rs
+++ b/crates/copperspread/tests/client_moments.rs
@@ -225,9 +225,7 @@
     // Once another client was heard, the flood has been read.
     assert_eq!(scheduler.client().await.ask(READY).await.status(), 200);
     assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
-    let answer = client.heard().await.expect("an answer");
-    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
-    assert!(client.ended().await, "closed with care");
+    client.served_and_closed().await;
     assert!(server.idle());
 }
 
@@ -286,9 +284,7 @@
         let asked = server.asked().await.accept();
         assert_eq!(asked, format!("{id:016x}"));
         assert_eq!(scheduler.call_back(&asked, "r0", DONE).await, 204);
-        let answer = client.heard().await.expect("an answer");
-        assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"), "{id}");
-        assert!(client.ended().await, "{id} is closed with care");
+        client.served_and_closed().await;
     }
     assert!(scheduler.child.wait().await.expect("it ends").success());
 }
@@ -314,9 +310,7 @@
         assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
     }
     for client in &mut clients {
-        let answer = client.heard().await.expect("an answer");
-        assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
-        assert!(client.ended().await);
+        client.served_and_closed().await;
     }
     assert!(scheduler.child.wait().await.expect("it ends").success());
 }
@@ -334,9 +328,7 @@
     // Still more, after SIGTERM.
     client.job("once", 990, 9000).await;
     assert_eq!(scheduler.call_back(&id, "r0", DONE).await, 204);
-    let answer = client.heard().await.expect("an answer");
-    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
-    assert!(client.ended().await, "no reset over what was not read");
+    client.served_and_closed().await;
     // It is closed: what is sent on it now is read by nobody.
     client.job("once", 991, 9000).await;
     assert!(scheduler.child.wait().await.expect("it ends").success());
--- a/crates/copperspread/tests/sockets/mod.rs
+++ b/crates/copperspread/tests/sockets/mod.rs
@@ -144,6 +144,12 @@
     pub async fn job(&mut self, class: &str, id: u64, millis: u64) {
         self.send(&job(class, id, millis)).await;
     }
+    /// Its job is served, with word that the connection closes, and it closes with care.
+    pub async fn served_and_closed(&mut self) {
+        let answer = self.heard().await.expect("an answer");
+        assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
+        assert!(self.ended().await, "no reset over what was not read");
+    }
     /// Waits for the connection's end; whether it came as a close and not as a reset, and after nothing more.
     pub async fn ended(&mut self) -> bool {
         let mut rest = Vec::new();
