--- a/crates/copperspread/tests/hand_over_moments.rs
+++ b/crates/copperspread/tests/hand_over_moments.rs
@@ -192,8 +192,10 @@
     client.job("once", 30, 9000).await;
     let (mut connection, _) = server.asked().await;
     let endless = format!("HTTP/1.1 202 Accepted\r\nX-Long: {}", "x".repeat(60_000));
+    let since = std::time::Instant::now();
     let _ = connection.write_all(endless.as_bytes()).await;
     assert_eq!(client.heard().await.expect("an answer").status(), 500);
+    assert!(since.elapsed() < Duration::from_secs(3), "not at the deadline: {:?}", since.elapsed());
     assert_eq!(rest(&mut connection).await, "");
 }
 
