Share all descriptors in one budget; close idle worker connections when none is left

Cause: the limit on idle connections was one per worker, and nothing limited their sum (upstream/http/limits.rs). Load queries go to all ready workers in turn and keep a connection to each. A trial on a scratch copy counted the descriptors by their peers: 225 of 256 were connections to 225 workers, 8 idle callback connections, 5 idle clients; with load queries off 12 or 13 workers are connected and nothing is lost, so neither clients, callbacks, attempts nor a leak is the cause. The log could not tell: `no connection taken` now says how the connections are divided.

Change: each connection, of clients and to workers, holds a descriptor of a DescriptorBudget from before it is opened until its socket is closed. If none is left, the connection to a worker that was idle for longest is closed; one that is in use never is. Load queries open no connection out of the share that requests need. The per-connection state replaces the map of last uses, which was keyed by local address.

The test all_connections_together_fit_within_the_descriptors counted the idle connections of 22 workers; it now holds for any number of workers, with 24 instead of 12 descriptors for other uses.

--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::{Clock, from_now};
 use crate::context::ProxyContext;
+use crate::descriptors::DescriptorBudget;
 use crate::discovery::EndpointPublisher;
 use crate::downstream::Downstream;
 use crate::downstream::client_connections::ClientListener;
@@ -89,7 +90,8 @@
     let policy = PolicyHandle::new(policy, polls_endpoints, clock, Arc::clone(&recorder));
     let endpoint_publisher = EndpointPublisher::new(Arc::clone(&endpoints), Arc::clone(&policy));
     let cached_revision = endpoint_publisher.publish_cached(config.cached_endpoints.as_ref());
-    let upstream = HttpUpstream::new(&settings.proxy, Arc::clone(&endpoints), config.descriptor_limit);
+    let descriptors = DescriptorBudget::new(config.descriptor_limit);
+    let upstream = HttpUpstream::new(&settings.proxy, Arc::clone(&endpoints), Arc::clone(&descriptors));
     let context = Arc::new(ProxyContext {
         clock,
         policy: Arc::clone(&policy),
@@ -106,14 +108,8 @@
         path: CALLBACK_PATH,
         handle: Arc::new(move |body| handle_callback(body).map_err(Into::into)),
     };
-    let connections = listen(
-        Arc::clone(&context),
-        callbacks,
-        pages,
-        listener,
-        config.descriptor_limit,
-        config.memory_limit_mb,
-    );
+    let connections =
+        listen(Arc::clone(&context), callbacks, pages, listener, descriptors, config.memory_limit_mb);
     tokio::spawn(load_queries::run(Arc::clone(&context)));
     let longest_deadline = settings.dispatch.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let shutdown_schedule = ShutdownSchedule::for_longest_deadline(longest_deadline);
--- a/crates/proxy/src/downstream/client_connections.rs
+++ b/crates/proxy/src/downstream/client_connections.rs
@@ -10,6 +10,7 @@
 use tracing::{Instrument, warn_span};
 
 use crate::clock::from_now;
+use crate::descriptors::DescriptorBudget;
 use crate::downstream::Downstream;
 use crate::downstream::client_connection::serve_connection;
 use crate::downstream::connection_limits::{ConnectionLimits, max_connections};
@@ -40,22 +41,23 @@
     /// Creates a listener that accepts client connections on `listener` and answers their requests through
     /// `router`.
     ///
-    /// The maximum number of connections is derived from `descriptor_limit`, the number of file descriptors
-    /// that the process may open, and from `memory_limit_mb`, the process's memory limit in MB (10^6 bytes).
+    /// The connections take their file descriptors from `descriptors`. Their maximum number is derived from
+    /// the number of file descriptors that the process may open, and from `memory_limit_mb`, the process's
+    /// memory limit in MB (10^6 bytes).
     pub fn new(
         router: Router,
         callback_path: &'static str,
         shutdown: Shutdown,
         listener: TcpListener,
-        descriptor_limit: usize,
+        descriptors: Arc<DescriptorBudget>,
         memory_limit_mb: f64,
     ) -> Arc<ClientListener> {
-        let max_connections = max_connections(descriptor_limit, memory_limit_mb);
+        let max_connections = max_connections(descriptors.limit(), memory_limit_mb);
         let handler = RequestHandler::new(router, callback_path, shutdown, max_connections, memory_limit_mb);
         Arc::new(ClientListener {
             handler: Arc::new(handler),
             listener: Mutex::new(Some(listener)),
-            limits: ConnectionLimits::new(max_connections),
+            limits: ConnectionLimits::new(max_connections, descriptors),
         })
     }
 
@@ -96,7 +98,8 @@
                 Err(error) => {
                     consecutive_failures = 0;
                     // This counter counts failed calls of `accept` after which the loop waits.
-                    count_event("no connection taken", &error.to_string());
+                    let reason = format!("{error}; {}", self.limits.descriptor_usage());
+                    count_event("no connection taken", &reason);
                     if is_resource_exhaustion(&error) {
                         self.limits.evict_on_exhaustion();
                     }
--- a/crates/proxy/src/downstream/connection_limits.rs
+++ b/crates/proxy/src/downstream/connection_limits.rs
@@ -6,9 +6,9 @@
 
 use copperspread_dispatcher::{Micros, SECOND};
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
-use crate::clock::from_now;
+use crate::descriptors::{ClientDescriptor, DescriptorBudget, DescriptorUsage, max_client_connections};
 use crate::downstream::raw_head::MAX_HEAD_BYTES;
 
 /// The memory that is reserved for each client connection, in bytes: for the buffers, the task and a small
@@ -30,12 +30,11 @@
 /// Returns the maximum number of client connections of a process.
 ///
 /// The number is limited by `descriptor_limit`, the number of file descriptors that the process may open, and
-/// by `memory_limit_mb`, the process's memory limit in MB (10^6 bytes). A quarter of the descriptors and 16
-/// more are reserved for workers, discovery and files. Half of the memory is reserved for request bodies that
-/// do not fit into the memory reserved for their connection, and for all other uses. At least 8 connections
-/// are always allowed.
+/// by `memory_limit_mb`, the process's memory limit in MB (10^6 bytes). Half of the memory is reserved for
+/// request bodies that do not fit into the memory reserved for their connection, and for all other uses. At
+/// least 8 connections are always allowed.
 pub fn max_connections(descriptor_limit: usize, memory_limit_mb: f64) -> usize {
-    let by_descriptors = (descriptor_limit - descriptor_limit / 4).saturating_sub(16);
+    let by_descriptors = max_client_connections(descriptor_limit);
     let by_memory = (memory_limit_mb * 1e6 / 2.0) as usize / MAX_CONNECTION_BYTES;
     by_descriptors.min(by_memory).max(8)
 }
@@ -106,13 +105,20 @@
 /// Gives out the permits of the client connections, of which there is a limited number.
 pub(super) struct ConnectionLimits {
     max_connections: usize,
+    descriptors: Arc<DescriptorBudget>,
     inner: Mutex<Inner>,
     released: Notify,
 }
 
 impl ConnectionLimits {
-    pub(super) fn new(max_connections: usize) -> Arc<ConnectionLimits> {
-        Arc::new(ConnectionLimits { max_connections, inner: Mutex::default(), released: Notify::new() })
+    pub(super) fn new(max_connections: usize, descriptors: Arc<DescriptorBudget>) -> Arc<ConnectionLimits> {
+        let (inner, released) = (Mutex::default(), Notify::new());
+        Arc::new(ConnectionLimits { max_connections, descriptors, inner, released })
+    }
+
+    /// Returns how the process's connections use its file descriptors now.
+    pub(super) fn descriptor_usage(&self) -> DescriptorUsage {
+        self.descriptors.usage()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -131,17 +137,24 @@
             if let Some(permit) = self.try_acquire() {
                 return permit;
             }
-            let _ = timeout_at(from_now(EVICTION_NOTICE), self.released.notified()).await;
+            tokio::select! {
+                () = self.released.notified() => {}
+                () = self.descriptors.wait_for_release(EVICTION_NOTICE) => {}
+            }
         }
     }
 
-    /// Asks the connection that has been idle for longest to close. Called when `accept` has run out of file
-    /// descriptors or memory although permits are left.
+    /// Asks an idle connection to a worker to close or, if there is none, the client connection that has been
+    /// idle for longest. Called when `accept` has run out of file descriptors or memory although permits are
+    /// left.
     ///
-    /// This can happen if the process has fewer descriptors than its configuration says, or needs more
-    /// descriptors than usual for workers. Connections that are not idle stay open, because the shortage may
+    /// This can happen if the process has fewer descriptors than its configuration says. Connections that are
+    /// not idle stay open, because the shortage may
     /// pass. Nothing is done while any connection is still in the state [`ConnectionState::Evicting`].
     pub(super) fn evict_on_exhaustion(&self) {
+        if self.descriptors.evict_on_exhaustion() {
+            return;
+        }
         let inner = &mut *self.lock();
         if inner.connections.values().any(|entry| entry.state == ConnectionState::Evicting) {
             return;
@@ -163,12 +176,18 @@
         if inner.connections.len() >= self.max_connections {
             return None;
         }
+        let descriptor = self.descriptors.try_acquire_client()?;
         inner.last_id += 1;
         let eviction = Arc::new(Notify::new());
         let state = ConnectionState::New;
         let entry = ConnectionEntry { state, state_since: Instant::now(), eviction: Arc::clone(&eviction) };
         inner.connections.insert(inner.last_id, entry);
-        Some(ConnectionPermit { limits: Arc::clone(self), id: inner.last_id, eviction })
+        Some(ConnectionPermit {
+            limits: Arc::clone(self),
+            id: inner.last_id,
+            eviction,
+            _descriptor: descriptor,
+        })
     }
 }
 
@@ -218,6 +237,8 @@
     id: u64,
     /// Notified when the connection is asked to close.
     pub(super) eviction: Arc<Notify>,
+    /// The connection's file descriptor.
+    _descriptor: ClientDescriptor,
 }
 
 impl ConnectionPermit {
--- a/crates/proxy/src/downstream/http/mod.rs
+++ b/crates/proxy/src/downstream/http/mod.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::context::ProxyContext;
+use crate::descriptors::DescriptorBudget;
 use crate::downstream::client_connections::ClientListener;
 use crate::downstream::http::request_head::{RequestHead, end_to_end_headers, parse_head};
 use crate::downstream::request_limits::{MAX_BODY_BYTES, RequestLimits};
@@ -56,20 +57,21 @@
 
 /// Creates a listener that accepts client connections on `listener` and answers their requests.
 ///
-/// The maximum number of connections is derived from `descriptor_limit`, the number of file descriptors that
-/// the process may open, and from `memory_limit_mb`, the process's memory limit in MB (10^6 bytes).
+/// The connections take their file descriptors from `descriptors`. Their maximum number is derived from the
+/// number of file descriptors that the process may open, and from `memory_limit_mb`, the process's memory
+/// limit in MB (10^6 bytes).
 pub fn listen(
     context: Arc<ProxyContext>,
     callbacks: CallbackRoute,
     pages: &[StatusPage],
     listener: TcpListener,
-    descriptor_limit: usize,
+    descriptors: Arc<DescriptorBudget>,
     memory_limit_mb: f64,
 ) -> Arc<ClientListener> {
     let shutdown = context.shutdown.clone();
     let callback_path = callbacks.path;
     let router = routes(context, callbacks, pages);
-    ClientListener::new(router, callback_path, shutdown, listener, descriptor_limit, memory_limit_mb)
+    ClientListener::new(router, callback_path, shutdown, listener, descriptors, memory_limit_mb)
 }
 
 /// Builds the router for client requests, workers' callbacks and status pages.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod assembly;
 pub mod clock;
 pub mod context;
+pub mod descriptors;
 pub mod discovery;
 pub mod downstream;
 pub mod endpoints;
--- a/crates/proxy/src/upstream/http/attempt.rs
+++ b/crates/proxy/src/upstream/http/attempt.rs
@@ -10,19 +10,20 @@
 use hyper::http::response::Parts;
 use hyper::http::uri::Authority;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
-use hyper_util::client::legacy::{Error, ResponseFuture};
+use hyper_util::client::legacy::Error;
+use hyper_util::client::legacy::connect::CaptureConnection;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::clock::from_now;
+use crate::descriptors::{WorkerConnectionUse, max_dispatches};
 use crate::endpoints::EndpointTable;
 use crate::messages::{AttemptTarget, DispatchControl, DispatchFailure, DispatchResult, UpstreamRequest};
-use crate::upstream::http::connections::{ConnectionUse, WorkerConnections, wait_until_closed};
+use crate::upstream::http::connections::{ConnectionUse, PendingResponse, WorkerConnections};
 use crate::upstream::http::guarded_body::{GuardedBody, WriteGuard};
-use crate::upstream::http::limits::max_dispatches;
 use crate::upstream::http::load_report::header_load_report;
 use crate::upstream::http::request::{build_request, failure_outcome, is_retryable_at_any_worker, read_body};
+use crate::upstream::http::tracked_connector::TrackedConnection;
 
 /// How long the body of a worker's response to an attempt is read, in microseconds. The head alone decides
 /// the attempt's outcome. If the body has not ended by then, the connection is closed.
@@ -151,24 +152,29 @@
         deadline: Instant,
         control: &DispatchControl,
     ) -> DispatchResult {
-        let PreparedAttempt { mut request, started_at, write_deadline, is_written, permit } =
+        let PreparedAttempt { request, started_at, write_deadline, is_written, permit } =
             self.prepare(target, upstream_request, deadline, control)?;
-        let connection = capture_connection(&mut request);
-        let response = self.connections.send_attempt(request, upstream_request.idempotency);
-        match wait_for_response(response, control, write_deadline, &is_written).await {
+        let idempotency = upstream_request.idempotency;
+        let mut pending = self.connections.send_attempt(request, idempotency);
+        match wait_for_response(&mut pending, control, write_deadline, &is_written).await {
             WaitResult::Response(response) => {
-                self.read_response(response, &connection, upstream_request.idempotency, started_at, permit)
+                self.read_response(response, pending, idempotency, started_at, permit)
             }
             WaitResult::Failed(error) => {
                 let outcome = failure_outcome(&error);
                 if outcome != Outcome::Superseded {
-                    self.connections.record_use(&connection, ConnectionUse::Broken);
+                    self.connections.record_use(pending.connection(), ConnectionUse::Broken);
                 }
                 Err(outcome.into())
             }
             WaitResult::NotWritten => Err(Outcome::ConnectFailed.into()),
             WaitResult::Aborted if is_written.load(Ordering::Relaxed) => {
-                let _ = timeout_at(from_now(CLOSE_TIMEOUT), wait_until_closed(&connection)).await;
+                let connection = TrackedConnection::of(pending.connection());
+                // The client library (hyper) closes the connection once the request is dropped.
+                drop(pending);
+                if let Some(connection) = connection {
+                    let _ = timeout_at(from_now(CLOSE_TIMEOUT), connection.wait_until_closed()).await;
+                }
                 Err(Outcome::Cancelled.into())
             }
             WaitResult::Aborted => Err(Outcome::Superseded.into()),
@@ -180,7 +186,7 @@
     fn read_response(
         &self,
         response: Response<Incoming>,
-        connection: &CaptureConnection,
+        mut pending: PendingResponse,
         idempotency: Idempotency,
         started_at: Instant,
         permit: OwnedSemaphorePermit,
@@ -190,11 +196,13 @@
         let (head, body) = response.into_parts();
         match response_outcome(head.status, &head.headers) {
             None => {
-                self.connections.record_use(connection, ConnectionUse::Reusable);
-                drain_body(body, permit);
+                self.connections.record_use(pending.connection(), ConnectionUse::Reusable);
+                drain_body(body, permit, pending.take_use());
                 Ok(())
             }
-            Some(outcome) => Err(self.dispatch_failure(connection, &head, outcome, idempotency, started_at)),
+            Some(outcome) => {
+                Err(self.dispatch_failure(pending.connection(), &head, outcome, idempotency, started_at))
+            }
         }
     }
 
@@ -267,7 +275,7 @@
 /// Waits for the worker's response to an attempt. The wait also ends when the attempt is aborted, or when its
 /// write deadline passes before it is written.
 async fn wait_for_response(
-    mut response: ResponseFuture,
+    response: &mut PendingResponse,
     control: &DispatchControl,
     write_deadline: Instant,
     is_written: &AtomicBool,
@@ -278,7 +286,7 @@
             // The response is checked first: once received, it counts even if the attempt is aborted at the
             // same time.
             biased;
-            result = &mut response => return result.map_or_else(WaitResult::Failed, WaitResult::Response),
+            result = &mut *response => return result.map_or_else(WaitResult::Failed, WaitResult::Response),
             () = control.abort.cancelled() => return WaitResult::Aborted,
             () = sleep_until(write_deadline), if !is_past_write_deadline => {
                 is_past_write_deadline = true;
@@ -322,14 +330,14 @@
 }
 
 /// Spawns a task that reads the rest of a response's body, so that the connection can be reused. The task
-/// holds `permit` until it ends, at the latest after [`BODY_DRAIN_TIMEOUT`].
-fn drain_body(body: Incoming, permit: OwnedSemaphorePermit) {
+/// holds `permit` and the use of the connection until it ends, at the latest after [`BODY_DRAIN_TIMEOUT`].
+fn drain_body(body: Incoming, permit: OwnedSemaphorePermit, connection_use: Option<WorkerConnectionUse>) {
     if body.is_end_stream() {
         return;
     }
     let drained = timeout_at(from_now(BODY_DRAIN_TIMEOUT), read_body(body));
     tokio::spawn(async move {
         let _ = drained.await;
-        drop(permit);
+        drop((permit, connection_use));
     });
 }
--- a/crates/proxy/src/upstream/http/cancellation.rs
+++ b/crates/proxy/src/upstream/http/cancellation.rs
@@ -6,15 +6,15 @@
 use futures_util::future::BoxFuture;
 use hyper::http::uri::{Authority, PathAndQuery};
 use hyper::{Method, Request};
-use hyper_util::client::legacy::ResponseFuture;
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::clock::from_now;
+use crate::descriptors::max_cancellations;
 use crate::messages::{AttemptTarget, CancellationOutcome};
-use crate::upstream::http::connections::WorkerConnections;
+use crate::upstream::http::connections::{PendingResponse, WorkerConnections};
 use crate::upstream::http::guarded_body::GuardedBody;
-use crate::upstream::http::limits::{max_cancellations, max_idle_per_worker};
+use crate::upstream::http::limits::max_idle_per_worker;
 use crate::upstream::http::request::{build_request, read_body};
 
 /// How long the body of the response to a cancellation is read, in microseconds. The content is ignored. If
@@ -119,12 +119,13 @@
     ///
     /// Every response except a server error counts as an acknowledgement. This includes the response that the
     /// worker does not know the attempt, because the worker then does not run the attempt.
-    async fn send(&self, send: fn(&WorkerConnections, Request<GuardedBody>) -> ResponseFuture) -> bool {
+    async fn send(&self, send: fn(&WorkerConnections, Request<GuardedBody>) -> PendingResponse) -> bool {
         let (address, path) = (self.address.clone(), self.path.clone());
         let Some(request) = build_request(Method::DELETE, address, path, GuardedBody::empty()) else {
             return false;
         };
-        let Ok(response) = send(&self.connections, request).await else { return false };
+        let mut pending = send(&self.connections, request);
+        let Ok(response) = (&mut pending).await else { return false };
         let is_acknowledged = !response.status().is_server_error();
         // The body is read to its end although its content is ignored. Only then can the connection be
         // reused.
--- a/crates/proxy/src/upstream/http/limits.rs
+++ b/crates/proxy/src/upstream/http/limits.rs
@@ -1,5 +1,4 @@
-//! Limits on requests and connections to workers, and the idle time-out of connections. The limits are
-//! derived from the number of file descriptors that the process may open.
+//! Limits on idle connections to workers: how long they are kept, and how many of them to one worker.
 use copperspread_dispatcher::Micros;
 
 /// The maximum time that a connection to a worker stays idle, as a fraction of the worker's keep-alive time.
@@ -15,31 +14,9 @@
     fraction.min(keep_alive.saturating_sub(MIN_IDLE_TIMEOUT_MARGIN))
 }
 
-/// Returns the maximum number of attempts that may be in the process of being sent to workers at the same
-/// time. The maximum is an eighth of the process's file descriptors, but at least 4.
-pub fn max_dispatches(descriptor_limit: usize) -> usize {
-    (descriptor_limit / 8).max(4)
-}
-
-/// Returns the maximum number of load queries in flight: from 4 to 12, depending on the process's file
-/// descriptors. Load queries have their own limit, so that they don't use the file descriptors that requests
-/// need.
-pub fn max_load_queries(descriptor_limit: usize) -> usize {
-    (descriptor_limit / 48).clamp(4, 12)
-}
-
-/// Returns the maximum number of cancellations in flight: a sixteenth of the process's file descriptors, but
-/// at least 4.
-///
-/// A cancellation uses an idle connection to its worker, or a new connection if none is idle. In both cases,
-/// the file descriptor is one of those reserved for idle connections.
-pub fn max_cancellations(descriptor_limit: usize) -> usize {
-    (descriptor_limit / 16).max(4)
-}
-
 /// Returns the maximum number of idle connections to one worker: from 1 to 8, depending on the process's file
-/// descriptors. With this limit, the idle connections to two dozen workers don't use the file descriptors
-/// that client connections need.
+/// descriptors. The idle connections to all workers together are limited by
+/// [`DescriptorBudget`](crate::descriptors::DescriptorBudget).
 pub fn max_idle_per_worker(descriptor_limit: usize) -> usize {
     (descriptor_limit / 192).clamp(1, 8)
 }
--- a/crates/proxy/src/upstream/http/load_query.rs
+++ b/crates/proxy/src/upstream/http/load_query.rs
@@ -9,15 +9,14 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Error;
-use hyper_util::client::legacy::connect::capture_connection;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
+use crate::descriptors::{DescriptorBudget, max_load_queries};
 use crate::endpoints::EndpointTable;
 use crate::messages::LoadQueryResult;
-use crate::upstream::http::connections::{ConnectionUse, WorkerConnections};
+use crate::upstream::http::connections::{ConnectionUse, PendingResponse, WorkerConnections};
 use crate::upstream::http::guarded_body::GuardedBody;
-use crate::upstream::http::limits::max_load_queries;
 use crate::upstream::http::load_report::parse_load_response;
 use crate::upstream::http::request::{build_request, failure_outcome, read_body_or_empty};
 
@@ -33,6 +32,7 @@
 pub(super) struct LoadQuerySender {
     connections: Arc<WorkerConnections>,
     endpoints: Arc<EndpointTable>,
+    descriptors: Arc<DescriptorBudget>,
     /// The workers that have a load query in flight.
     queried_workers: Arc<Mutex<HashSet<WorkerId>>>,
     max_load_queries: usize,
@@ -52,30 +52,33 @@
 }
 
 impl LoadQuerySender {
-    /// Creates a sender of load queries. The maximum number of load queries in flight is derived from
-    /// `descriptor_limit`, the number of file descriptors that the process may open.
+    /// Creates a sender of load queries. The maximum number of load queries in flight is derived from the
+    /// number of file descriptors that the process may open.
     pub(super) fn new(
         connections: Arc<WorkerConnections>,
         endpoints: Arc<EndpointTable>,
-        descriptor_limit: usize,
+        descriptors: Arc<DescriptorBudget>,
     ) -> LoadQuerySender {
         LoadQuerySender {
             connections,
             endpoints,
             queried_workers: Arc::default(),
-            max_load_queries: max_load_queries(descriptor_limit),
+            max_load_queries: max_load_queries(descriptors.limit()),
+            descriptors,
         }
     }
 
     /// Sends a load query to a worker, and waits for the answer until `deadline`.
     ///
     /// Nothing is sent if the worker is not listed as serving, if the worker already has a load query in
-    /// flight, or if too many load queries are in flight. The outcome is then [`Outcome::Superseded`].
+    /// flight, if too many load queries are in flight, or if the load query would need a new connection while
+    /// few file descriptors are left. The outcome is then [`Outcome::Superseded`].
     pub(super) async fn send(&self, worker: WorkerId, deadline: Instant) -> LoadQueryResult {
         let Some(permit) = self.try_acquire(worker) else { return Outcome::Superseded.into() };
-        let Some(mut request) = self.build_query(worker) else { return Outcome::Superseded.into() };
-        let connection = capture_connection(&mut request);
-        let response = self.spawn_query(request, permit, deadline);
+        let Some(request) = self.build_query(worker) else { return Outcome::Superseded.into() };
+        let pending = self.connections.send(request);
+        let connection = pending.connection().clone();
+        let response = spawn_query(pending, permit, deadline);
         match timeout_at(deadline, response).await {
             Err(_) | Ok(Err(_)) => Outcome::TimedOut.into(),
             Ok(Ok(Err(error))) => {
@@ -105,29 +108,30 @@
 
     fn build_query(&self, worker: WorkerId) -> Option<Request<GuardedBody>> {
         let address = self.endpoints.serving_address(worker)?;
+        if !self.descriptors.permits_load_query(&address) {
+            return None;
+        }
         let path = PathAndQuery::from_static(LOAD_QUERY_PATH);
         build_request(Method::GET, address, path, GuardedBody::empty())
     }
+}
 
-    /// Spawns a task that sends a load query and reads the response. The task ends at the latest
-    /// [`LATE_RESPONSE_WINDOW`] after `deadline`.
-    fn spawn_query(
-        &self,
-        request: Request<GuardedBody>,
-        permit: LoadQueryPermit,
-        deadline: Instant,
-    ) -> oneshot::Receiver<Result<(Parts, Bytes), Error>> {
-        let response = self.connections.send(request);
-        let (sender, receiver) = oneshot::channel();
-        let late_deadline = deadline + Duration::from_micros(LATE_RESPONSE_WINDOW);
-        tokio::spawn(timeout_at(late_deadline, async move {
-            let _permit = permit;
-            let read = async {
-                let (head, body) = response.await?.into_parts();
-                Ok((head, read_body_or_empty(body).await))
-            };
-            let _ = sender.send(read.await);
-        }));
-        receiver
-    }
+/// Spawns a task that sends a load query and reads the response. The task ends at the latest
+/// [`LATE_RESPONSE_WINDOW`] after `deadline`.
+fn spawn_query(
+    mut pending: PendingResponse,
+    permit: LoadQueryPermit,
+    deadline: Instant,
+) -> oneshot::Receiver<Result<(Parts, Bytes), Error>> {
+    let (sender, receiver) = oneshot::channel();
+    let late_deadline = deadline + Duration::from_micros(LATE_RESPONSE_WINDOW);
+    tokio::spawn(timeout_at(late_deadline, async move {
+        let _permit = permit;
+        let read = async {
+            let (head, body) = (&mut pending).await?.into_parts();
+            Ok((head, read_body_or_empty(body).await))
+        };
+        let _ = sender.send(read.await);
+    }));
+    receiver
 }
--- a/crates/proxy/src/upstream/http/mod.rs
+++ b/crates/proxy/src/upstream/http/mod.rs
@@ -8,6 +8,7 @@
 use futures_util::future::BoxFuture;
 use tokio::time::Instant;
 
+use crate::descriptors::DescriptorBudget;
 use crate::endpoints::EndpointTable;
 use crate::messages::{
     AttemptTarget, CancellationOutcome, DispatchControl, DispatchResult, LoadQueryResult, UpstreamRequest,
@@ -38,15 +39,16 @@
 }
 
 impl HttpUpstream {
-    /// Creates an [`HttpUpstream`] that communicates with all workers. The limits on dispatches,
-    /// cancellations, load queries and idle connections are derived from `descriptor_limit`, the number of
-    /// file descriptors that the process may open.
+    /// Creates an [`HttpUpstream`] that communicates with all workers. Its connections take their file
+    /// descriptors from `descriptors`. The limits on dispatches, cancellations and load queries are derived
+    /// from the number of file descriptors that the process may open.
     pub fn new(
         settings: &ProxySettings,
         endpoints: Arc<EndpointTable>,
-        descriptor_limit: usize,
+        descriptors: Arc<DescriptorBudget>,
     ) -> HttpUpstream {
-        let connections = Arc::new(WorkerConnections::new(settings, descriptor_limit));
+        let descriptor_limit = descriptors.limit();
+        let connections = Arc::new(WorkerConnections::new(settings, &descriptors));
         HttpUpstream {
             attempts: AttemptSender::new(
                 Arc::clone(&connections),
@@ -55,7 +57,7 @@
                 descriptor_limit,
             ),
             cancellations: CancellationSender::new(Arc::clone(&connections), descriptor_limit),
-            load_queries: LoadQuerySender::new(connections, Arc::clone(&endpoints), descriptor_limit),
+            load_queries: LoadQuerySender::new(connections, Arc::clone(&endpoints), descriptors),
             endpoints,
         }
     }
--- a/crates/proxy/tests/interfaces.rs
+++ b/crates/proxy/tests/interfaces.rs
@@ -400,25 +400,13 @@
 
 #[test]
 fn all_connections_together_fit_within_the_descriptors() {
+    use copperspread_proxy::descriptors::max_used_worker_connections;
     use copperspread_proxy::downstream::connection_limits::max_connections;
-    use copperspread_proxy::upstream::http::limits::{
-        max_cancellations, max_dispatches, max_idle_per_worker, max_load_queries,
-    };
-    // `workers` is the size of the largest fleet. `other` covers a connection being accepted, discovery's
-    // connections and the runtime's descriptors.
-    let (workers, other) = (22, 12);
+    // Covers a connection being accepted, discovery's parallel calls, files and the runtime's descriptors. Idle
+    // connections to workers need no share: they are closed when another connection needs a descriptor.
+    let other = 24;
     for descriptors in [256, 384, 512, 768, 1024] {
-        let upstream = max_dispatches(descriptors)
-            + max_load_queries(descriptors)
-            + workers * max_idle_per_worker(descriptors);
-        assert!(
-            max_connections(descriptors, 192.0) + upstream + other <= descriptors,
-            "with {descriptors} descriptors"
-        );
-        let idle = workers * max_idle_per_worker(descriptors);
-        assert!(
-            max_cancellations(descriptors) <= idle,
-            "cancellations use the descriptors reserved for idle connections"
-        );
+        let connections = max_connections(descriptors, 192.0) + max_used_worker_connections(descriptors);
+        assert!(connections + other <= descriptors, "with {descriptors} descriptors");
     }
 }
--- a/crates/scheduler/tests/connection_limits.rs
+++ b/crates/scheduler/tests/connection_limits.rs
@@ -7,6 +7,7 @@
 
 use copperspread_dispatcher::{Idempotency, Outcome, WorkerId};
 use copperspread_proxy::clock::{Clock, from_now};
+use copperspread_proxy::descriptors::DescriptorBudget;
 use copperspread_proxy::endpoints::{EndpointTable, ListOrigin};
 use copperspread_proxy::messages::{DispatchControl, UpstreamRequest};
 use copperspread_proxy::upstream::{Upstream, http::HttpUpstream};
@@ -72,7 +73,7 @@
             .expect("a valid configuration");
     let endpoints = Arc::new(EndpointTable::new(&config.settings.proxy));
     let control = DispatchControl::default();
-    let upstream = HttpUpstream::new(&config.settings.proxy, endpoints.clone(), 32);
+    let upstream = HttpUpstream::new(&config.settings.proxy, endpoints.clone(), DescriptorBudget::new(32));
     let (headers, body) = (Default::default(), Default::default());
     let upstream_request = UpstreamRequest {
         id: String::new(),
--- a/crates/scheduler/tests/dispatch_races.rs
+++ b/crates/scheduler/tests/dispatch_races.rs
@@ -6,6 +6,7 @@
 
 use copperspread_dispatcher::{Idempotency, KeyScope, WorkerId};
 use copperspread_proxy::clock::{Clock, from_now};
+use copperspread_proxy::descriptors::DescriptorBudget;
 use copperspread_proxy::endpoints::{EndpointTable, ListOrigin};
 use copperspread_proxy::messages::{DispatchControl, UpstreamRequest};
 use copperspread_proxy::upstream::{Upstream, http::HttpUpstream};
@@ -400,7 +401,7 @@
     let list =
         parsed.and_then(|json_list| platform::read_endpoint_list(&json_list)).expect("a valid endpoint list");
     endpoints.apply(&list, ListOrigin::Discovery, Clock::start().read());
-    let upstream = HttpUpstream::new(&settings.proxy, endpoints, 1024);
+    let upstream = HttpUpstream::new(&settings.proxy, endpoints, DescriptorBudget::new(1024));
     let keyed = Idempotency::IdempotentWithKey { scope: KeyScope::All, window: 9_000_000 };
     for idempotency in [keyed, Idempotency::Idempotent, Idempotency::NonIdempotent] {
         for is_late in [true, false] {
--- a/crates/scheduler/tests/sockets/mod.rs
+++ b/crates/scheduler/tests/sockets/mod.rs
@@ -40,7 +40,8 @@
     }
 }
 
-async fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+/// Reads an HTTP message; `None` if the connection ended.
+pub(crate) async fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
     let mut first = String::new();
     stream.read_line(&mut first).await.ok().filter(|&n| n > 0)?;
     let mut headers = HashMap::new();
@@ -228,7 +229,11 @@
         self.0.write_all(text.as_bytes()).await.expect("the connection is open");
     }
     pub(crate) async fn next_response(&mut self) -> Option<Message> {
-        within("a response", read(&mut self.0)).await
+        within("a response", self.try_next_response()).await
+    }
+    /// Returns the next response, without a limit on the wait; `None` if the connection ended.
+    pub(crate) async fn try_next_response(&mut self) -> Option<Message> {
+        read(&mut self.0).await
     }
     pub(crate) async fn exchange(&mut self, text: &str) -> Message {
         self.send(text).await;
