Query the load of the preferred workers only in a fleet of many schedulers

Change: from 16 schedulers on, only the 32 ready workers with the lowest affinities are queried. Smaller fleets query all, as before.

--- a/crates/dispatcher/src/policy/affinity.rs
+++ b/crates/dispatcher/src/policy/affinity.rs
@@ -19,7 +19,7 @@
 
 /// This dispatcher's affinity for one worker: a number by which the worker's rank is multiplied. The worker
 /// with the lowest rank is selected, so a low affinity means a preferred worker.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(super) struct Affinity(f64);
 
 impl Default for Affinity {
@@ -41,11 +41,14 @@
     /// ready workers about 1. Ranks then stay comparable with the ranks of workers that are warming up, to
     /// which no affinity is applied. With fewer dispatchers, all affinities are 1, and so is the scale.
     scale: f64,
+    /// Highest affinity of the workers that this dispatcher prefers. `None` if it prefers none to the others,
+    /// because the fleet is small or has few ready workers.
+    preferred_limit: Option<Affinity>,
 }
 
 impl Default for AffinityRules {
     fn default() -> Self {
-        AffinityRules { is_large_fleet: false, scale: 1.0 }
+        AffinityRules { is_large_fleet: false, scale: 1.0, preferred_limit: None }
     }
 }
 
@@ -85,6 +88,23 @@
         }
     }
 
+    /// Determines which workers this dispatcher prefers to the others: the `max_preferred` ready workers with
+    /// the lowest affinities, or all workers if no more are ready. `ready` holds the affinities of all ready
+    /// workers.
+    pub(super) fn set_preferred_workers(&mut self, mut ready: Vec<Affinity>, max_preferred: usize) {
+        self.preferred_limit = (self.is_large_fleet && ready.len() > max_preferred).then(|| {
+            let (_, highest, _) =
+                ready.select_nth_unstable_by(max_preferred - 1, |left, right| left.0.total_cmp(&right.0));
+            *highest
+        });
+    }
+
+    /// Returns whether this dispatcher prefers a worker with the given affinity to other workers, or has no
+    /// such preference.
+    pub(super) fn is_preferred(&self, affinity: Affinity) -> bool {
+        self.preferred_limit.is_none_or(|limit| affinity <= limit)
+    }
+
     /// Returns the factor by which a worker's rank is multiplied. The factor is `affinity`, which this
     /// dispatcher has drawn at random for the worker, multiplied by the scale for all affinities.
     pub(super) fn rank_factor(&self, affinity: Affinity) -> f64 {
--- a/crates/dispatcher/src/policy/dispatcher.rs
+++ b/crates/dispatcher/src/policy/dispatcher.rs
@@ -14,6 +14,7 @@
 use super::late_retries::LateRetries;
 use super::listed_load::ListedLoads;
 use super::load_queries::LoadQueries;
+use super::load_queries::MAX_QUERIED_WORKERS;
 use super::load_reports::LoadReports;
 use super::load_reports::REPORT_AGE;
 use super::load_reports::ReportedValues;
@@ -185,6 +186,7 @@
             self.update_worker(now, endpoint);
         }
         self.affinities.set_ready_workers(self.workers.ready_count());
+        self.affinities.set_preferred_workers(self.workers.ready_affinities(), MAX_QUERIED_WORKERS);
         if self.settings.listed_sizes_reflect_load {
             self.learn_listed_loads(now, update.endpoints);
         }
@@ -252,8 +254,10 @@
     }
 
     fn on_load_query_timer(&mut self) {
-        let is_ready = |worker: usize| self.workers.is_ready(worker);
-        let turn = self.load_queries.take_turn(self.workers.len(), is_ready);
+        let (workers, affinities) = (&self.workers, &self.affinities);
+        let is_queried =
+            |worker: usize| workers.is_ready(worker) && affinities.is_preferred(workers[worker].affinity);
+        let turn = self.load_queries.take_turn(workers.len(), is_queried);
         if let Some(worker) = turn.worker {
             self.actions.push(Action::QueryLoad { worker: WorkerId(worker as u32) });
         }
--- a/crates/dispatcher/src/policy/load_queries.rs
+++ b/crates/dispatcher/src/policy/load_queries.rs
@@ -1,11 +1,15 @@
 //! Load queries, which ask workers for their load in fleets whose workers report their load only on request.
-//! Each query has a cost, so a budget limits the number of queries.
+//! Each query has a cost, so a budget limits the number of queries. In a large fleet, a dispatcher queries only
+//! the workers that it prefers: it sends most requests to them, and each queried worker takes a connection.
 use crate::Micros;
 use crate::SECOND;
 
 /// Time in which each ready worker is queried once. This is about the interval at which workers update their
 /// load reports.
 const LOAD_QUERY_ROUND: Micros = SECOND;
+/// Largest number of workers that a dispatcher of a large fleet queries. A dispatcher sends some tens of
+/// requests per second, so more workers than this rarely have one of its requests.
+pub(super) const MAX_QUERIED_WORKERS: usize = 32;
 /// Divisor for the random delay of the first load query that this dispatcher sends. The delay is at most
 /// [`LOAD_QUERY_ROUND`] divided by this constant.
 const FIRST_LOAD_QUERY_DIVISOR: Micros = 10;
--- a/crates/dispatcher/src/policy/worker.rs
+++ b/crates/dispatcher/src/policy/worker.rs
@@ -81,6 +81,12 @@
         self.workers.iter().filter(|worker| worker.state == WorkerState::Ready).count()
     }
 
+    /// Returns the affinities of all ready workers.
+    pub(super) fn ready_affinities(&self) -> Vec<Affinity> {
+        let ready = self.workers.iter().filter(|worker| worker.state == WorkerState::Ready);
+        ready.map(|worker| worker.affinity).collect()
+    }
+
     /// Marks all workers as removed, before a full endpoint list is applied.
     pub(super) fn remove_all(&mut self) {
         self.workers.iter_mut().for_each(|worker| worker.state = WorkerState::Removed);
--- a/crates/dispatcher/tests/unit/affinity.rs
+++ b/crates/dispatcher/tests/unit/affinity.rs
@@ -44,3 +44,23 @@
     rules.set_ready_workers(0);
     assert_eq!(rules.rank_factor(Affinity::default()), 1.0);
 }
+
+#[test]
+fn a_large_fleet_prefers_the_workers_with_the_lowest_affinities() {
+    let mut rules = AffinityRules::new(16);
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut drawn: Vec<_> = (0..100).map(|_| rules.draw(&mut rng)).collect();
+    rules.set_preferred_workers(drawn.clone(), 32);
+    drawn.sort_by(|left, right| left.0.total_cmp(&right.0));
+    assert!(drawn[..32].iter().all(|&affinity| rules.is_preferred(affinity)));
+    assert!(!drawn[32..].iter().any(|&affinity| rules.is_preferred(affinity)));
+    rules.set_preferred_workers(drawn[68..].to_vec(), 32);
+    assert!(drawn.iter().all(|&affinity| rules.is_preferred(affinity)), "no more than 32 are ready");
+}
+
+#[test]
+fn a_small_fleet_prefers_no_worker() {
+    let mut rules = AffinityRules::new(15);
+    rules.set_preferred_workers(vec![Affinity(0.5); 100], 32);
+    assert!(rules.is_preferred(Affinity(2.0)));
+}
--- a/crates/scheduler/tests/large_fleet.rs
+++ b/crates/scheduler/tests/large_fleet.rs
@@ -48,6 +48,12 @@
     lost: usize,
 }
 
+/// What a run needed.
+struct Needs {
+    most_descriptors: usize,
+    connections_to_workers: usize,
+}
+
 fn number_from_environment(name: &str) -> Option<u64> {
     std::env::var(name).ok().map(|value| value.parse().expect("an integer"))
 }
@@ -113,8 +119,8 @@
     }
 }
 
-/// Plays a run, in which no request may be lost; returns the number of connections to workers.
-async fn play(run: Run) -> usize {
+/// Plays a run, in which no request may be lost.
+async fn play(run: Run) -> Needs {
     println!(
         "COPPERSPREAD_FLEET_SEED={} with {} workers and {} descriptors",
         run.seed, run.workers, run.descriptors
@@ -136,7 +142,7 @@
     assert!(outcomes.served as f64 >= MIN_SERVED_SHARE * requests as f64, "{outcomes:?}");
     assert!(most_descriptors < run.descriptors as usize, "{most_descriptors} descriptors");
     assert!(fleet.load_queries() > 0, "the workers' load is queried");
-    fleet.accepted_connections()
+    Needs { most_descriptors, connections_to_workers: fleet.accepted_connections() }
 }
 
 // Guards against idle connections to the workers of a large fleet that take all descriptors, so that clients'
@@ -160,7 +166,26 @@
 async fn no_request_is_lost_while_idle_worker_connections_are_evicted() {
     let (schedulers, workers, descriptors) = (1, 120, 64);
     let duration = Duration::from_secs(6);
-    let connections =
+    let needs =
         play(Run { schedulers, workers, descriptors, duration, requests_per_second: 30, seed: 2 }).await;
+    let connections = needs.connections_to_workers;
     assert!(connections > descriptors as usize, "{connections} connections: none had to be evicted");
 }
+
+// Guards against a scheduler that needs the more descriptors and connections the more workers its fleet has.
+// The bounds are those of the platform's standing test for a fleet that has grown sixteen times.
+#[tokio::test]
+async fn a_scheduler_of_a_grown_fleet_needs_few_more_descriptors_and_connections() {
+    let run = |growth: u32| Run {
+        schedulers: 3 * growth,
+        workers: 15 * u64::from(growth),
+        descriptors: 256,
+        duration: Duration::from_secs(8),
+        requests_per_second: 30,
+        seed: 3,
+    };
+    let usual = play(run(1)).await;
+    let grown = play(run(16)).await;
+    assert!(grown.most_descriptors <= 2 * usual.most_descriptors + 40);
+    assert!(grown.connections_to_workers <= usual.connections_to_workers * 5 / 2 + 40);
+}
