--- a/crates/dispatcher/src/policy/load_queries.rs
+++ b/crates/dispatcher/src/policy/load_queries.rs
@@ -1,6 +1,7 @@
 //! Load queries, which ask workers for their load in fleets whose workers report their load only on request.
-//! Each query has a cost, so a budget limits the number of queries. In a large fleet, a dispatcher queries only
-//! the workers that it prefers: it sends most requests to them, and each queried worker takes a connection.
+//! Each query has a cost, so a budget limits the number of queries. In a large fleet, a dispatcher queries
+//! only the workers that it prefers: it sends most requests to them, and each queried worker takes a
+//! connection.
 use crate::Micros;
 use crate::SECOND;
 
