Share the process's memory in one budget; copy bodies out of their read buffers

Nothing bounded the sum of all uses.

Change: each piece is copied and dropped. A request keeps copies of its headers and path, not the buffer of its head; the raw head is dropped once it is checked. Bodies of worker responses that nobody needs are discarded. MemoryBudget owns the memory: connections, bodies, lists reserve from it, each use has a guaranteed share.

--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -19,6 +19,7 @@
 use crate::endpoints::EndpointTable;
 use crate::event_recorder::EventRecorder;
 use crate::load_queries;
+use crate::memory::MemoryBudget;
 use crate::policy_handle::PolicyHandle;
 use crate::shutdown::Shutdown;
 use crate::shutdown_schedule::{FINAL_WRITE_TIME, ShutdownDeadlines, ShutdownSchedule};
@@ -88,9 +89,11 @@
     let recorder = EventRecorder::new(recorder.clone(), Arc::clone(&endpoints), &settings.proxy);
     let polls_endpoints = settings.dispatch.discovery == DiscoveryMode::Polled;
     let policy = PolicyHandle::new(policy, polls_endpoints, clock, Arc::clone(&recorder));
-    let endpoint_publisher = EndpointPublisher::new(Arc::clone(&endpoints), Arc::clone(&policy));
+    let memory = MemoryBudget::new(config.memory_limit_mb);
+    let endpoint_publisher =
+        EndpointPublisher::new(Arc::clone(&endpoints), Arc::clone(&policy)).with_memory(Arc::clone(&memory));
     let cached_revision = endpoint_publisher.publish_cached(config.cached_endpoints.as_ref());
-    let descriptors = DescriptorBudget::new(config.descriptor_limit);
+    let descriptors = DescriptorBudget::with_memory(config.descriptor_limit, Arc::clone(&memory));
     let upstream = HttpUpstream::new(&settings.proxy, Arc::clone(&endpoints), Arc::clone(&descriptors));
     let context = Arc::new(ProxyContext {
         clock,
@@ -106,10 +109,9 @@
     let handle_callback = callback_handler(endpoints, policy);
     let callbacks = CallbackRoute {
         path: CALLBACK_PATH,
-        handle: Arc::new(move |body| handle_callback(body).map_err(Into::into)),
+        handle: Arc::new(move |body, reservation| handle_callback(body, reservation).map_err(Into::into)),
     };
-    let connections =
-        listen(Arc::clone(&context), callbacks, pages, listener, descriptors, config.memory_limit_mb);
+    let connections = listen(Arc::clone(&context), callbacks, pages, listener, descriptors);
     tokio::spawn(load_queries::run(Arc::clone(&context)));
     let longest_deadline = settings.dispatch.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let shutdown_schedule = ShutdownSchedule::for_longest_deadline(longest_deadline);
--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -1,7 +1,7 @@
 //! Shares the process's file descriptors between client connections and connections to workers.
 //!
-//! Every connection holds a descriptor of the [`DescriptorBudget`] until its socket is closed. If none is
-//! left, the connection to a worker that has been idle for longest is closed. The number of idle connections
+//! Every connection holds a descriptor of the [`DescriptorBudget`] and its part of the [`MemoryBudget`] until
+//! its socket is closed. If none is left, the connection to a worker that has been idle for longest is closed. The number of idle connections
 //! therefore depends on the descriptors that are left, and not on the number of workers.
 use std::collections::BTreeMap;
 use std::fmt;
@@ -16,6 +16,7 @@
 
 use crate::clock::from_now;
 use crate::invariant::count_event;
+use crate::memory::{CONNECTION_BYTES, MemoryBudget, MemoryReservation, MemoryUse};
 
 /// The maximum number of descriptors that are reserved for all other uses: standard streams, the runtime,
 /// the listener, a connection that has just been accepted, discovery's parallel calls, logs and files.
@@ -172,18 +173,28 @@
     limit: usize,
     /// The maximum number of connections of all kinds.
     max_connections: usize,
+    /// The memory from which each connection takes its part.
+    memory: Arc<MemoryBudget>,
     inner: Mutex<Inner>,
     /// Notified when a descriptor is released, or when a connection to a worker becomes idle.
     released: Notify,
 }
 
 impl DescriptorBudget {
-    /// Creates the budget of a process that may open `limit` file descriptors.
+    /// Creates the budget of a process that may open `limit` file descriptors and whose memory is not limited.
     pub fn new(limit: usize) -> Arc<DescriptorBudget> {
+        DescriptorBudget::with_memory(limit, MemoryBudget::unlimited())
+    }
+
+    /// Creates the budget of a process that may open `limit` file descriptors. The connections take their
+    /// memory from `memory`.
+    pub fn with_memory(limit: usize, memory: Arc<MemoryBudget>) -> Arc<DescriptorBudget> {
+        memory.set_max_connections(max_client_connections(limit), max_used_worker_connections(limit));
         let reserved = MAX_RESERVED_DESCRIPTORS.min(limit / 2);
         Arc::new(DescriptorBudget {
             limit,
             max_connections: limit - reserved,
+            memory,
             inner: Mutex::default(),
             released: Notify::new(),
         })
@@ -194,6 +205,16 @@
         self.limit
     }
 
+    /// Returns the memory from which connections take their part.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
+    /// Returns the maximum number of client connections that descriptors and memory allow now.
+    pub(crate) fn max_client_connections(&self) -> usize {
+        self.memory.max_client_connections()
+    }
+
     /// Returns how the descriptors are used now.
     pub fn usage(&self) -> DescriptorUsage {
         self.lock().usage()
@@ -203,7 +224,7 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns a descriptor for a client connection, or `None` if one will be free soon.
+    /// Returns a descriptor for a client connection, or `None` if one will be free soon or memory is short.
     ///
     /// If none is left, an idle connection to a worker is asked to close. If there is no such connection, the
     /// client gets a descriptor all the same: the maximum numbers of client connections
@@ -214,8 +235,12 @@
         if inner.connections() >= self.max_connections && inner.evict_idle_worker() {
             return None;
         }
+        let Some(memory) = self.memory.try_reserve(MemoryUse::ClientConnection, CONNECTION_BYTES) else {
+            inner.evict_idle_worker();
+            return None;
+        };
         inner.clients += 1;
-        Some(ClientDescriptor(Arc::clone(self)))
+        Some(ClientDescriptor { budget: Arc::clone(self), _memory: memory })
     }
 
     /// Waits for a descriptor for a connection to the worker at `address`.
@@ -229,8 +254,8 @@
         }
     }
 
-    /// Returns a descriptor for a connection to a worker, or `None` if the caller must wait. If none is left,
-    /// an idle connection to a worker is asked to close.
+    /// Returns a descriptor for a connection to a worker, or `None` if the caller must wait. If no descriptor
+    /// or no memory is left, an idle connection to a worker is asked to close.
     fn try_acquire_worker(self: &Arc<Self>, address: Option<&Authority>) -> Option<WorkerDescriptor> {
         let mut inner = self.lock();
         if inner.connections() >= self.max_connections {
@@ -241,11 +266,15 @@
                 return None;
             }
         }
+        let Some(memory) = self.memory.try_reserve(MemoryUse::WorkerConnection, CONNECTION_BYTES) else {
+            inner.evict_idle_worker();
+            return None;
+        };
         inner.last_id += 1;
         let id = inner.last_id;
         let state = WorkerConnectionState::Connecting;
         inner.workers.insert(id, WorkerConnection { address: address.cloned(), state, reader: None });
-        Some(WorkerDescriptor { budget: Arc::clone(self), id })
+        Some(WorkerDescriptor { budget: Arc::clone(self), id, _memory: memory })
     }
 
     /// Waits until a descriptor is released, but at most `max_wait` microseconds.
@@ -278,20 +307,24 @@
     }
 }
 
-/// The descriptor of one client connection. It is released when this value is dropped.
-pub(crate) struct ClientDescriptor(Arc<DescriptorBudget>);
+/// The descriptor and the memory of one client connection. They are released when this value is dropped.
+pub(crate) struct ClientDescriptor {
+    budget: Arc<DescriptorBudget>,
+    _memory: MemoryReservation,
+}
 
 impl Drop for ClientDescriptor {
     fn drop(&mut self) {
-        self.0.lock().clients -= 1;
-        self.0.released.notify_waiters();
+        self.budget.lock().clients -= 1;
+        self.budget.released.notify_waiters();
     }
 }
 
-/// The descriptor of one connection to a worker. It is released when this value is dropped.
+/// The descriptor and the memory of one connection to a worker. They are released when this value is dropped.
 pub(crate) struct WorkerDescriptor {
     budget: Arc<DescriptorBudget>,
     id: u64,
+    _memory: MemoryReservation,
 }
 
 impl WorkerDescriptor {
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -8,6 +8,7 @@
 use futures_util::future::BoxFuture;
 
 use crate::endpoints::{EndpointTable, ListOrigin};
+use crate::memory::MemoryBudget;
 use crate::policy_handle::PolicyHandle;
 
 pub mod platform;
@@ -30,12 +31,30 @@
 pub struct EndpointPublisher {
     endpoints: Arc<EndpointTable>,
     policy: Arc<PolicyHandle>,
+    memory: Arc<MemoryBudget>,
 }
 
 impl EndpointPublisher {
-    /// Creates a publisher that updates `endpoints` and notifies `policy`.
+    /// Creates a publisher that updates `endpoints` and notifies `policy`. Its memory is not limited.
     pub fn new(endpoints: Arc<EndpointTable>, policy: Arc<PolicyHandle>) -> EndpointPublisher {
-        EndpointPublisher { endpoints, policy }
+        EndpointPublisher { endpoints, policy, memory: MemoryBudget::unlimited() }
+    }
+
+    /// Returns a publisher whose lists take their memory from `memory`.
+    pub fn with_memory(self, memory: Arc<MemoryBudget>) -> EndpointPublisher {
+        EndpointPublisher { memory, ..self }
+    }
+
+    /// Returns the memory from which endpoint lists take their part.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
+    /// Applies a list to the endpoint table, and records the number of workers that are known then.
+    fn apply_from(&self, list: &EndpointList, origin: ListOrigin) -> Option<Vec<Endpoint>> {
+        let endpoints = self.endpoints.apply(list, origin, self.policy.read_clocks());
+        self.memory.set_known_workers(self.endpoints.known_workers());
+        endpoints
     }
 
     /// Publishes the endpoint list that was cached before the process started, and returns the revision of
@@ -45,7 +64,7 @@
     /// this method then notifies the policy of an update without endpoints. This update starts the policy,
     /// which then requests its first list from discovery.
     pub fn publish_cached(&self, cached: Option<&EndpointList>) -> Option<u64> {
-        let apply = |list| self.endpoints.apply(list, ListOrigin::Cache, self.policy.read_clocks());
+        let apply = |list| self.apply_from(list, ListOrigin::Cache);
         let endpoints = cached.and_then(apply).unwrap_or_default();
         // The policy starts at its first event. If lists are polled, no list is fetched from discovery before
         // the policy has started and requested a list. Without a cached list, this method therefore notifies
@@ -61,7 +80,7 @@
     ///
     /// Returns `None`, and applies nothing, if the table already has a newer revision.
     pub fn apply(&self, list: &EndpointList) -> Option<Vec<Endpoint>> {
-        self.endpoints.apply(list, ListOrigin::Discovery, self.policy.read_clocks())
+        self.apply_from(list, ListOrigin::Discovery)
     }
 
     /// Notifies the policy of `endpoints`, which [`EndpointPublisher::apply`] has returned for `list`.
--- a/crates/proxy/src/discovery/platform.rs
+++ b/crates/proxy/src/discovery/platform.rs
@@ -12,6 +12,8 @@
 //! * Polled: the dispatch policy requests the first call. After a failed call, the policy is notified and
 //!   requests the next call. Two kinds of failures are exceptions: this module makes the next call without a
 //!   request of the policy (see `PlatformWatcher`).
+use std::sync::Arc;
+
 use copperspread_dispatcher::{Micros, SECOND};
 use copperspread_settings::EndpointList;
 use futures_util::future::BoxFuture;
@@ -183,11 +185,12 @@
     fn new(discovery: PlatformDiscovery, publisher: EndpointPublisher) -> PlatformWatcher {
         let is_polled = publisher.is_polled();
         let address = discovery.address.borrow().clone();
+        let client = DiscoveryClient::new(Arc::clone(publisher.memory()));
         PlatformWatcher {
             publisher,
             configured_address: discovery.address,
             address,
-            client: DiscoveryClient::new(),
+            client,
             revision: discovery.cached_revision,
             backoff: RETRY_BACKOFF_INITIAL,
             is_polled,
@@ -226,7 +229,7 @@
         self.address = address;
         // The HTTP client is replaced. The old client would keep its connection to the old address open until
         // the old discovery closes it.
-        self.client = DiscoveryClient::new();
+        self.client = DiscoveryClient::new(Arc::clone(self.publisher.memory()));
         // The service at the new address has its own revisions, which cannot be compared with those of the
         // old service. If the endpoint table kept the revision of its last list, a list of the new service
         // could be taken for an outdated list and ignored.
--- a/crates/proxy/src/discovery/platform/fetch.rs
+++ b/crates/proxy/src/discovery/platform/fetch.rs
@@ -1,12 +1,13 @@
 //! HTTP calls to the platform's discovery.
 use std::error::Error;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use copperspread_dispatcher::Micros;
 use copperspread_settings::{EndpointList, json, platform};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::http::uri::{Authority, Uri};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
@@ -14,6 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::from_now;
+use crate::memory::{MemoryBudget, MemoryUse};
 
 /// Maximum length of an endpoint list, in bytes.
 ///
@@ -21,6 +23,10 @@
 /// sixteenth of the smallest memory limit that a scheduler process has. Other messages have bodies of at most
 /// 64 KiB, which would be enough for only about 400 endpoints.
 const MAX_LIST_BYTES: usize = 2 << 20;
+/// The maximum length of a read buffer, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+/// How many bytes of memory a byte of an endpoint list takes while the list is parsed.
+const PARSED_BYTES_PER_BYTE: usize = 10;
 
 /// The reason why a call to discovery returned no endpoint list.
 #[derive(Debug, thiserror::Error)]
@@ -71,18 +77,23 @@
 }
 
 /// HTTP client that calls discovery. The client is replaced when discovery's address changes.
-pub(super) struct DiscoveryClient(Client<HttpConnector, Empty<Bytes>>);
+pub(super) struct DiscoveryClient {
+    client: Client<HttpConnector, Empty<Bytes>>,
+    /// The memory from which endpoint lists take their part.
+    memory: Arc<MemoryBudget>,
+}
 
 impl DiscoveryClient {
-    pub(super) fn new() -> DiscoveryClient {
+    pub(super) fn new(memory: Arc<MemoryBudget>) -> DiscoveryClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(1)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_READ_BUFFER_BYTES)
             .build(connector);
-        DiscoveryClient(client)
+        DiscoveryClient { client, memory }
     }
 
     /// Fetches an endpoint list with one call, which is given up at its deadlines.
@@ -94,7 +105,7 @@
     ) -> Result<EndpointList, FetchError> {
         let response = timeout_at(deadlines.head, self.request(address, path)).await;
         let response = response.unwrap_or(Err(FetchError::TimedOut))?;
-        let list = timeout_at(deadlines.body, read_list(response.into_body())).await;
+        let list = timeout_at(deadlines.body, read_list(response.into_body(), &self.memory)).await;
         list.unwrap_or(Err(FetchError::TimedOut))
     }
 
@@ -127,7 +138,7 @@
     async fn request(&self, address: &Authority, path: &str) -> Result<Response<Incoming>, FetchError> {
         let uri = Uri::builder().scheme("http").authority(address.clone()).path_and_query(path).build()?;
         let request = Request::get(uri).body(Empty::new())?;
-        let response = self.0.request(request).await?;
+        let response = self.client.request(request).await?;
         if response.status() != StatusCode::OK {
             return Err(FetchError::Refused(response.status()));
         }
@@ -135,9 +146,28 @@
     }
 }
 
-async fn read_list(body: Incoming) -> Result<EndpointList, FetchError> {
-    let body = Limited::new(body, MAX_LIST_BYTES).collect().await;
-    let body = body.map_err(FetchError::Body)?;
-    let value = json::parse_bytes(&body.to_bytes()).map_err(invalid_list)?;
+/// Reads an endpoint list. The memory for parsing it is reserved first.
+async fn read_list(body: Incoming, memory: &Arc<MemoryBudget>) -> Result<EndpointList, FetchError> {
+    let text = collect_text(body).await?;
+    let _reservation = memory.reserve(MemoryUse::EndpointList, text.len() * PARSED_BYTES_PER_BYTE).await;
+    let value = json::parse_bytes(&text).map_err(invalid_list)?;
     platform::read_endpoint_list(&value).map_err(invalid_list)
 }
+
+/// Reads the text of an endpoint list. Each piece of the text is copied and dropped, because it keeps the whole
+/// read buffer that it was received in.
+async fn collect_text(body: Incoming) -> Result<Vec<u8>, FetchError> {
+    let mut text = Vec::with_capacity(body.size_hint().exact().map_or(0, announced_capacity));
+    let mut body = Limited::new(body, MAX_LIST_BYTES);
+    while let Some(frame) = body.frame().await {
+        if let Ok(piece) = frame.map_err(FetchError::Body)?.into_data() {
+            text.extend_from_slice(&piece);
+        }
+    }
+    Ok(text)
+}
+
+/// Returns the capacity for a list whose announced length is `length`.
+fn announced_capacity(length: u64) -> usize {
+    usize::try_from(length).unwrap_or(MAX_LIST_BYTES).min(MAX_LIST_BYTES)
+}
--- a/crates/proxy/src/downstream/client_connections.rs
+++ b/crates/proxy/src/downstream/client_connections.rs
@@ -13,7 +13,7 @@
 use crate::descriptors::DescriptorBudget;
 use crate::downstream::Downstream;
 use crate::downstream::client_connection::serve_connection;
-use crate::downstream::connection_limits::{ConnectionLimits, max_connections};
+use crate::downstream::connection_limits::ConnectionLimits;
 use crate::downstream::request_handler::RequestHandler;
 use crate::downstream::request_totals::RequestTotals;
 use crate::invariant::count_event;
@@ -41,23 +41,21 @@
     /// Creates a listener that accepts client connections on `listener` and answers their requests through
     /// `router`.
     ///
-    /// The connections take their file descriptors from `descriptors`. Their maximum number is derived from
-    /// the number of file descriptors that the process may open, and from `memory_limit_mb`, the process's
-    /// memory limit in MB (10^6 bytes).
+    /// The connections take their file descriptors and their memory from `descriptors`, and the bodies of
+    /// requests take theirs from the same memory.
     pub fn new(
         router: Router,
         callback_path: &'static str,
         shutdown: Shutdown,
         listener: TcpListener,
         descriptors: Arc<DescriptorBudget>,
-        memory_limit_mb: f64,
     ) -> Arc<ClientListener> {
-        let max_connections = max_connections(descriptors.limit(), memory_limit_mb);
-        let handler = RequestHandler::new(router, callback_path, shutdown, max_connections, memory_limit_mb);
+        let memory = Arc::clone(descriptors.memory());
+        let handler = RequestHandler::new(router, callback_path, shutdown, memory);
         Arc::new(ClientListener {
             handler: Arc::new(handler),
             listener: Mutex::new(Some(listener)),
-            limits: ConnectionLimits::new(max_connections, descriptors),
+            limits: ConnectionLimits::new(descriptors),
         })
     }
 
--- a/crates/proxy/src/downstream/connection_limits.rs
+++ b/crates/proxy/src/downstream/connection_limits.rs
@@ -8,12 +8,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::descriptors::{ClientDescriptor, DescriptorBudget, DescriptorUsage, max_client_connections};
-use crate::downstream::raw_head::MAX_HEAD_BYTES;
+use crate::descriptors::{ClientDescriptor, DescriptorBudget, DescriptorUsage};
 
-/// The memory that is reserved for each client connection, in bytes: for the buffers, the task and a small
-/// body.
-const MAX_CONNECTION_BYTES: usize = 2 * MAX_HEAD_BYTES;
 /// The minimum time that a connection must have been in its current state before it can be asked to close, in
 /// microseconds.
 ///
@@ -27,18 +23,6 @@
 /// The time in which a request may still begin on a connection that was asked to close, in microseconds.
 pub(super) const EVICTION_NOTICE: Micros = 5_000;
 
-/// Returns the maximum number of client connections of a process.
-///
-/// The number is limited by `descriptor_limit`, the number of file descriptors that the process may open, and
-/// by `memory_limit_mb`, the process's memory limit in MB (10^6 bytes). Half of the memory is reserved for
-/// request bodies that do not fit into the memory reserved for their connection, and for all other uses. At
-/// least 8 connections are always allowed.
-pub fn max_connections(descriptor_limit: usize, memory_limit_mb: f64) -> usize {
-    let by_descriptors = max_client_connections(descriptor_limit);
-    let by_memory = (memory_limit_mb * 1e6 / 2.0) as usize / MAX_CONNECTION_BYTES;
-    by_descriptors.min(by_memory).max(8)
-}
-
 /// The minimum time that a connection must have been idle before it is asked to close because the process or
 /// the machine is out of file descriptors or memory, in microseconds.
 const MIN_IDLE_TIME_ON_EXHAUSTION: Micros = 2 * SECOND;
@@ -104,16 +88,19 @@
 
 /// Gives out the permits of the client connections, of which there is a limited number.
 pub(super) struct ConnectionLimits {
-    max_connections: usize,
     descriptors: Arc<DescriptorBudget>,
     inner: Mutex<Inner>,
     released: Notify,
 }
 
 impl ConnectionLimits {
-    pub(super) fn new(max_connections: usize, descriptors: Arc<DescriptorBudget>) -> Arc<ConnectionLimits> {
-        let (inner, released) = (Mutex::default(), Notify::new());
-        Arc::new(ConnectionLimits { max_connections, descriptors, inner, released })
+    pub(super) fn new(descriptors: Arc<DescriptorBudget>) -> Arc<ConnectionLimits> {
+        Arc::new(ConnectionLimits { descriptors, inner: Mutex::default(), released: Notify::new() })
+    }
+
+    /// Returns the maximum number of client connections.
+    fn max_connections(&self) -> usize {
+        self.descriptors.max_client_connections()
     }
 
     /// Returns how the process's connections use its file descriptors now.
@@ -172,8 +159,9 @@
 
     fn try_acquire(self: &Arc<Self>) -> Option<ConnectionPermit> {
         let inner = &mut *self.lock();
-        inner.evict_surplus(self.max_connections);
-        if inner.connections.len() >= self.max_connections {
+        let max_connections = self.max_connections();
+        inner.evict_surplus(max_connections);
+        if inner.connections.len() >= max_connections {
             return None;
         }
         let descriptor = self.descriptors.try_acquire_client()?;
--- a/crates/proxy/src/downstream/http/mod.rs
+++ b/crates/proxy/src/downstream/http/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::body::{Body, Bytes, to_bytes};
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::header;
 use axum::http::request::Parts;
@@ -15,17 +15,18 @@
 use axum::routing::{get, post};
 use axum::{Extension, Router};
 use copperspread_dispatcher::{Micros, SECOND};
-use http_body_util::LengthLimitError;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout_at};
 
+use crate::body_collector::{BodyCollector, CollectError, CollectedBody};
 use crate::context::ProxyContext;
 use crate::descriptors::DescriptorBudget;
 use crate::downstream::client_connections::ClientListener;
-use crate::downstream::http::request_head::{RequestHead, end_to_end_headers, parse_head};
-use crate::downstream::request_limits::{MAX_BODY_BYTES, RequestLimits};
+use crate::downstream::http::request_head::{RequestHead, copy_path, end_to_end_headers, parse_head};
+use crate::downstream::request_limits::RequestLimits;
 use crate::invariant::{EventSubject, count_event, count_event_for};
-use crate::messages::{AdmissionRequest, BodyPermit, FinalResponse, UpstreamRequest};
+use crate::memory::{MemoryReservation, MemoryUse};
+use crate::messages::{AdmissionRequest, FinalResponse, UpstreamRequest};
 use crate::request_task;
 use crate::shutdown::effective_deadline;
 
@@ -41,9 +42,11 @@
     pub handle: Arc<CallbackHandler>,
 }
 
-/// The type of a function that handles the body of one callback. It returns an error if the body is not a
-/// valid callback.
-pub type CallbackHandler = dyn Fn(&[u8]) -> Result<(), Box<dyn Error + Send + Sync>> + Send + Sync;
+/// The type of a function that handles the body of one callback. The function takes over the reservation of
+/// the body's memory, and keeps as much of it as the callback's result needs. It returns an error if the body
+/// is not a valid callback.
+pub type CallbackHandler =
+    dyn Fn(&[u8], Option<MemoryReservation>) -> Result<(), Box<dyn Error + Send + Sync>> + Send + Sync;
 
 /// An additional page with information about the process. It is served on the listener for clients, as
 /// `/-/ready` is.
@@ -57,21 +60,18 @@
 
 /// Creates a listener that accepts client connections on `listener` and answers their requests.
 ///
-/// The connections take their file descriptors from `descriptors`. Their maximum number is derived from the
-/// number of file descriptors that the process may open, and from `memory_limit_mb`, the process's memory
-/// limit in MB (10^6 bytes).
+/// The connections take their file descriptors and their memory from `descriptors`.
 pub fn listen(
     context: Arc<ProxyContext>,
     callbacks: CallbackRoute,
     pages: &[StatusPage],
     listener: TcpListener,
     descriptors: Arc<DescriptorBudget>,
-    memory_limit_mb: f64,
 ) -> Arc<ClientListener> {
     let shutdown = context.shutdown.clone();
     let callback_path = callbacks.path;
     let router = routes(context, callbacks, pages);
-    ClientListener::new(router, callback_path, shutdown, listener, descriptors, memory_limit_mb)
+    ClientListener::new(router, callback_path, shutdown, listener, descriptors)
 }
 
 /// Builds the router for client requests, workers' callbacks and status pages.
@@ -92,34 +92,23 @@
     if context.shutdown.is_started() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK }
 }
 
-/// The received body of a request, with the permit for the body's memory.
-struct ReceivedBody {
-    bytes: Bytes,
-    permit: BodyPermit,
-}
-
 /// Reads the body of a request. The body's length, the time until it is received, and the memory for all
 /// bodies are limited.
 ///
 /// # Errors
 ///
 /// Returns the status of the response: 413 for a body that is too long, 400 for a body that cannot be read,
-/// and 408 for a body that is not received by its deadline.
-async fn read_body(body: Body, limits: &RequestLimits) -> Result<ReceivedBody, StatusCode> {
-    let size = hyper::body::Body::size_hint(&body);
-    // A body whose announced length is too large is refused before it is read.
-    if size.lower() > MAX_BODY_BYTES as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    let max_bytes = size.upper().map_or(MAX_BODY_BYTES, |upper| upper as usize);
-    let received =
-        async { (limits.acquire_body_permit(max_bytes).await, to_bytes(body, MAX_BODY_BYTES).await) };
-    match timeout_at(limits.body_deadline, received).await {
-        Ok((permit, Ok(bytes))) => Ok(ReceivedBody { bytes, permit }),
-        Ok((_, Err(error))) => {
-            let is_too_large = error.source().is_some_and(|source| source.is::<LengthLimitError>());
-            Err(if is_too_large { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST })
-        }
+/// and 408 for a body that is not received by its deadline, or for which there is no memory until then.
+async fn read_body(
+    body: Body,
+    limits: &RequestLimits,
+    memory_use: MemoryUse,
+) -> Result<CollectedBody, StatusCode> {
+    let collected = BodyCollector::new(&limits.memory, memory_use).collect(body);
+    match timeout_at(limits.body_deadline, collected).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(CollectError::TooLong)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(CollectError::Unreadable)) => Err(StatusCode::BAD_REQUEST),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
@@ -131,11 +120,11 @@
     Extension(limits): Extension<RequestLimits>,
     request: Request,
 ) -> StatusCode {
-    let body = match read_body(request.into_body(), &limits).await {
+    let body = match read_body(request.into_body(), &limits, MemoryUse::RequestBody).await {
         Ok(body) => body,
         Err(status) => return status,
     };
-    match (callbacks.handle)(&body.bytes) {
+    match (callbacks.handle)(&body.bytes, body.reservation) {
         Ok(()) => StatusCode::NO_CONTENT,
         Err(error) => {
             count_event("bad call-back", &error.to_string());
@@ -194,7 +183,12 @@
     let client_deadline = received_at + Duration::from_micros(request.time_left);
     let shutdown = context.shutdown.watch();
     limits.body_deadline = limits.body_deadline.min(effective_deadline(client_deadline, &shutdown));
-    let body = read_body(body, &limits).await.map_err(RefusedRequest::Body)?;
+    // The parsed head keeps the read buffer that it was received in. What is needed of it is therefore copied
+    // before the body is awaited.
+    let path = parts.uri.path_and_query().and_then(copy_path).ok_or(RefusedRequest::InvalidHead)?;
+    let headers = end_to_end_headers(&parts.headers);
+    drop(parts);
+    let body = read_body(body, &limits, MemoryUse::RequestBody).await.map_err(RefusedRequest::Body)?;
     limits.mark_request_complete();
     // A shutdown may have begun while the body was received. A request that is not answered by the shutdown's
     // drain deadline would fail. The deadline and the remaining time are therefore computed only now, and the
@@ -202,14 +196,12 @@
     // the request, so that the client retries at another scheduler.
     let deadline = effective_deadline(client_deadline, &shutdown);
     request.time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
-    let path = parts.uri.path_and_query().cloned().ok_or(RefusedRequest::InvalidHead)?;
     let upstream_request = UpstreamRequest {
         id,
         path,
-        headers: end_to_end_headers(parts.headers),
+        headers,
         idempotency,
-        body: body.bytes,
-        body_permit: body.permit,
+        body: body.into_bytes(),
         client: limits.client_presence(),
     };
     Ok(AdmissionRequest { request, deadline, upstream_request })
--- a/crates/proxy/src/downstream/http/request_head.rs
+++ b/crates/proxy/src/downstream/http/request_head.rs
@@ -1,5 +1,6 @@
 //! Parses the heads of client requests.
-use axum::http::HeaderMap;
+use axum::http::uri::PathAndQuery;
+use axum::http::{HeaderMap, HeaderValue};
 use copperspread_dispatcher::{Idempotency, IncomingRequest, Micros, SECOND};
 use copperspread_settings::ProxySettings;
 
@@ -145,10 +146,23 @@
 }
 
 /// Returns the headers of a request that are forwarded to a worker: all headers except the hop-by-hop
-/// headers.
-pub(super) fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
+/// headers. They share no memory with `headers`.
+pub(super) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
+    let copies = headers.iter().filter_map(|(name, value)| Some((name.clone(), copy_value(value)?)));
+    let mut headers: HeaderMap = copies.collect();
     for name in HOP_BY_HOP_HEADERS {
         headers.remove(name);
     }
     headers
 }
+
+/// Returns a copy of a header's value that shares no memory with it. The copy of a valid value is valid.
+fn copy_value(value: &HeaderValue) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(value.as_bytes()).ok()
+}
+
+/// Returns a copy of a request's path and query that shares no memory with them, or `None` if they are not
+/// valid.
+pub(super) fn copy_path(path: &PathAndQuery) -> Option<PathAndQuery> {
+    PathAndQuery::try_from(path.as_str()).ok()
+}
--- a/crates/proxy/src/downstream/raw_head.rs
+++ b/crates/proxy/src/downstream/raw_head.rs
@@ -33,6 +33,7 @@
     pub(super) fn add(&self, bytes: &[u8]) -> bool {
         let mut inner = self.lock();
         if !inner.is_complete && inner.bytes.len() <= MAX_HEAD_BYTES {
+            inner.bytes.reserve_exact(bytes.len());
             inner.bytes.extend_from_slice(bytes);
         }
         !inner.is_complete
--- a/crates/proxy/src/downstream/request_handler.rs
+++ b/crates/proxy/src/downstream/request_handler.rs
@@ -7,13 +7,12 @@
 use axum::http::StatusCode;
 use axum::http::header::{self, HeaderValue};
 use axum::response::{IntoResponse, Response};
-use tokio::sync::Semaphore;
 use tower_service::Service;
 
-use crate::downstream::raw_head::has_conflicting_framing;
-use crate::downstream::request_limits::{RequestLimits, body_memory};
+use crate::downstream::request_limits::RequestLimits;
 use crate::downstream::request_totals::RequestCounters;
 use crate::invariant::count_event;
+use crate::memory::MemoryBudget;
 use crate::shutdown::Shutdown;
 
 /// Answers the requests on all client connections, and counts the requests in progress.
@@ -22,10 +21,8 @@
     /// The path to which workers send callbacks. Requests to this path don't count as client requests.
     callback_path: &'static str,
     pub(super) shutdown: Shutdown,
-    /// The maximum number of client requests in progress. It is an eighth lower than the maximum number of
-    /// connections, so that workers can still connect to send callbacks.
-    max_client_requests: usize,
-    pub(super) body_memory: Arc<Semaphore>,
+    /// The memory for the bodies of requests.
+    pub(super) memory: Arc<MemoryBudget>,
     /// How many client requests were received on all connections, and how they ended.
     pub(super) totals: RequestCounters,
     /// The number of requests that are being read or answered, including callbacks.
@@ -39,15 +36,13 @@
         router: Router,
         callback_path: &'static str,
         shutdown: Shutdown,
-        max_connections: usize,
-        memory_limit_mb: f64,
+        memory: Arc<MemoryBudget>,
     ) -> RequestHandler {
         RequestHandler {
             router,
             callback_path,
             shutdown,
-            max_client_requests: max_connections - max_connections / 8,
-            body_memory: body_memory(memory_limit_mb),
+            memory,
             totals: RequestCounters::default(),
             active_requests: AtomicUsize::new(0),
             active_client_requests: AtomicUsize::new(0),
@@ -66,14 +61,19 @@
 
     /// Returns the response to one request.
     ///
-    /// `raw_head` is the request's head as received. The response has the header `Connection: close` if the
-    /// connection is to be closed after the response.
-    pub(super) async fn respond(&self, request: Request, raw_head: &[u8], limits: RequestLimits) -> Response {
+    /// `has_conflicting_framing` tells whether the request may give the length of its body in two ways. The
+    /// response has the header `Connection: close` if the connection is to be closed after the response.
+    pub(super) async fn respond(
+        &self,
+        request: Request,
+        has_conflicting_framing: bool,
+        limits: RequestLimits,
+    ) -> Response {
         let _request = CountGuard::new(&self.active_requests);
         let is_client_request = self.is_client_request(&request);
         let _client_request = is_client_request.then(|| CountGuard::new(&self.active_client_requests));
         let mut is_refused_unread = false;
-        let mut response = if has_conflicting_framing(raw_head, request.headers()) {
+        let mut response = if has_conflicting_framing {
             count_event("bad request", "a body framed in two ways");
             StatusCode::BAD_REQUEST.into_response()
         } else if is_client_request && self.exceeds_client_request_limit() {
@@ -105,8 +105,12 @@
         }
     }
 
+    /// Returns whether more client requests are in progress than allowed: an eighth less than the maximum
+    /// number of connections, so that workers can still connect to send callbacks.
     fn exceeds_client_request_limit(&self) -> bool {
-        self.active_client_requests.load(Ordering::Relaxed) > self.max_client_requests
+        let max_connections = self.memory.max_client_connections();
+        let max_client_requests = max_connections - max_connections / 8;
+        self.active_client_requests.load(Ordering::Relaxed) > max_client_requests
     }
 }
 
--- a/crates/proxy/src/downstream/served_connection.rs
+++ b/crates/proxy/src/downstream/served_connection.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::from_now;
 use crate::downstream::connection_limits::{ConnectionPermit, ConnectionState};
-use crate::downstream::raw_head::RawHead;
+use crate::downstream::raw_head::{RawHead, has_conflicting_framing};
 use crate::downstream::read_ahead::ReadAhead;
 use crate::downstream::request_handler::RequestHandler;
 use crate::downstream::request_limits::RequestLimits;
@@ -110,12 +110,13 @@
     async fn respond(&self, request: hyper::Request<Incoming>, body_deadline: Instant) -> Response {
         let limits = RequestLimits {
             body_deadline,
-            body_memory: Arc::clone(&self.handler.body_memory),
+            memory: Arc::clone(&self.handler.memory),
             is_request_complete: Arc::clone(&self.is_request_complete),
             peer: self.stream.presence(),
         };
-        let raw_head = self.raw_head.take();
-        let mut response = self.handler.respond(request.map(Body::new), &raw_head, limits).await;
+        let has_conflicting_framing = has_conflicting_framing(&self.raw_head.take(), request.headers());
+        let mut response =
+            self.handler.respond(request.map(Body::new), has_conflicting_framing, limits).await;
         self.is_request_complete.store(false, Ordering::Relaxed);
         // If received bytes were dropped, the connection closes after this response, because the bytes that
         // follow cannot be parsed as a request.
--- a/crates/proxy/src/endpoints.rs
+++ b/crates/proxy/src/endpoints.rs
@@ -210,6 +210,11 @@
         table.entries.get(worker.0 as usize).map(|entry| Arc::clone(&entry.name)).unwrap_or_default()
     }
 
+    /// Returns the number of workers in the table, including those that are draining or removed.
+    pub fn known_workers(&self) -> usize {
+        self.lock().entries.len()
+    }
+
     /// The id of the worker with the given name, or `None` if the table has no such worker.
     pub fn worker_by_name(&self, name: &str) -> Option<WorkerId> {
         self.lock().ids.numbers.get(name).copied().map(WorkerId)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 //!
 //! The modules have no circular dependencies, which the test `module_dependencies` checks.
 pub mod assembly;
+mod body_collector;
 pub mod clock;
 pub mod context;
 pub mod descriptors;
@@ -35,6 +36,7 @@
 pub mod event_recorder;
 pub mod invariant;
 pub mod load_queries;
+pub mod memory;
 pub mod messages;
 pub mod policy_handle;
 pub mod request_task;
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -12,7 +12,6 @@
 };
 use http::HeaderMap;
 use http::uri::{Authority, PathAndQuery};
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -62,11 +61,6 @@
     Unconfirmed,
 }
 
-/// The permit for the memory that a request's body occupies, from the memory reserved for all request bodies.
-/// The memory counts as free again when the last clone is dropped. `None` for a small body, which needs no
-/// permit.
-pub type BodyPermit = Option<Arc<OwnedSemaphorePermit>>;
-
 /// A function that checks whether a request's client has disconnected. Each call reports what the operating
 /// system knows at the time of the call. The default reports that the client is connected.
 #[derive(Clone, Default)]
@@ -107,10 +101,9 @@
     /// only some workers recognize a repeated idempotency key, it also determines at which workers the
     /// request may be retried.
     pub idempotency: Idempotency,
-    /// The request's body, which is forwarded to workers.
+    /// The request's body, which is forwarded to workers. The body of a client's request holds the reservation
+    /// of its memory until its last clone is dropped.
     pub body: Bytes,
-    /// The permit for the memory that the request's body occupies. `None` for a small body.
-    pub body_permit: BodyPermit,
     /// Checks whether the request's client has disconnected. If the client has disconnected, no attempt is
     /// written.
     pub client: ClientPresence,
--- a/crates/proxy/src/upstream/http/attempt.rs
+++ b/crates/proxy/src/upstream/http/attempt.rs
@@ -22,7 +22,9 @@
 use crate::upstream::http::connections::{ConnectionUse, PendingResponse, WorkerConnections};
 use crate::upstream::http::guarded_body::{GuardedBody, WriteGuard};
 use crate::upstream::http::load_report::header_load_report;
-use crate::upstream::http::request::{build_request, failure_outcome, is_retryable_at_any_worker, read_body};
+use crate::upstream::http::request::{
+    build_request, discard_body, failure_outcome, is_retryable_at_any_worker,
+};
 use crate::upstream::http::tracked_connector::TrackedConnection;
 
 /// How long the body of a worker's response to an attempt is read, in microseconds. The head alone decides
@@ -335,7 +337,7 @@
     if body.is_end_stream() {
         return;
     }
-    let drained = timeout_at(from_now(BODY_DRAIN_TIMEOUT), read_body(body));
+    let drained = timeout_at(from_now(BODY_DRAIN_TIMEOUT), discard_body(body));
     tokio::spawn(async move {
         let _ = drained.await;
         drop((permit, connection_use));
--- a/crates/proxy/src/upstream/http/callback.rs
+++ b/crates/proxy/src/upstream/http/callback.rs
@@ -8,6 +8,7 @@
 use tinyjson::JsonValue;
 
 use crate::endpoints::EndpointTable;
+use crate::memory::MemoryReservation;
 use crate::messages::{AttemptCompletion, WorkerEvent, parse_request_id};
 use crate::policy_handle::PolicyHandle;
 use crate::upstream::http::load_report::parse_load_object;
@@ -84,19 +85,30 @@
     })
 }
 
-/// Returns the function that handles workers' callbacks. The function takes a callback's body, and does not
-/// depend on the server that receives the callback.
+/// Returns the function that handles workers' callbacks. The function takes a callback's body with the
+/// reservation of its memory, and does not depend on the server that receives the callback.
 ///
 /// A callback is accepted but ignored if its request has completed or its worker is unknown.
 pub fn callback_handler(
     endpoints: Arc<EndpointTable>,
     policy: Arc<PolicyHandle>,
-) -> impl Fn(&[u8]) -> Result<(), CallbackError> + Send + Sync {
-    move |body| {
-        let callback = parse_callback(body)?;
+) -> impl Fn(&[u8], Option<MemoryReservation>) -> Result<(), CallbackError> + Send + Sync {
+    move |body, reservation| {
+        let mut callback = parse_callback(body)?;
+        hold_for_result(reservation, &mut callback.event);
         if let Some(worker) = endpoints.worker_by_name(&callback.worker_name) {
             policy.deliver_worker_event(callback.request, worker, callback.event);
         }
         Ok(())
     }
 }
+
+/// Makes a worker's result hold the reservation of its callback's memory, until the result has been written to
+/// the client. Without a result, the memory is released.
+fn hold_for_result(reservation: Option<MemoryReservation>, event: &mut WorkerEvent) {
+    if let Some(reservation) = reservation
+        && let WorkerEvent::Completed(AttemptCompletion { result: Some(result), .. }) = event
+    {
+        *result = reservation.attach_to(std::mem::take(result).into());
+    }
+}
--- a/crates/proxy/src/upstream/http/cancellation.rs
+++ b/crates/proxy/src/upstream/http/cancellation.rs
@@ -15,7 +15,7 @@
 use crate::upstream::http::connections::{PendingResponse, WorkerConnections};
 use crate::upstream::http::guarded_body::GuardedBody;
 use crate::upstream::http::limits::max_idle_per_worker;
-use crate::upstream::http::request::{build_request, read_body};
+use crate::upstream::http::request::{build_request, discard_body};
 
 /// How long the body of the response to a cancellation is read, in microseconds. The content is ignored. If
 /// the body has not ended by then, the connection is closed.
@@ -129,7 +129,7 @@
         let is_acknowledged = !response.status().is_server_error();
         // The body is read to its end although its content is ignored. Only then can the connection be
         // reused.
-        let _ = timeout_at(from_now(BODY_DRAIN_TIMEOUT), read_body(response.into_body())).await;
+        let _ = timeout_at(from_now(BODY_DRAIN_TIMEOUT), discard_body(response.into_body())).await;
         is_acknowledged
     }
 }
--- a/crates/proxy/src/upstream/http/load_query.rs
+++ b/crates/proxy/src/upstream/http/load_query.rs
@@ -14,6 +14,7 @@
 
 use crate::descriptors::{DescriptorBudget, max_load_queries};
 use crate::endpoints::EndpointTable;
+use crate::memory::MemoryBudget;
 use crate::messages::LoadQueryResult;
 use crate::upstream::http::connections::{ConnectionUse, PendingResponse, WorkerConnections};
 use crate::upstream::http::guarded_body::GuardedBody;
@@ -78,7 +79,8 @@
         let Some(request) = self.build_query(worker) else { return Outcome::Superseded.into() };
         let pending = self.connections.send(request);
         let connection = pending.connection().clone();
-        let response = spawn_query(pending, permit, deadline);
+        let memory = Arc::clone(self.descriptors.memory());
+        let response = spawn_query(pending, permit, memory, deadline);
         match timeout_at(deadline, response).await {
             Err(_) | Ok(Err(_)) => Outcome::TimedOut.into(),
             Ok(Ok(Err(error))) => {
@@ -121,6 +123,7 @@
 fn spawn_query(
     mut pending: PendingResponse,
     permit: LoadQueryPermit,
+    memory: Arc<MemoryBudget>,
     deadline: Instant,
 ) -> oneshot::Receiver<Result<(Parts, Bytes), Error>> {
     let (sender, receiver) = oneshot::channel();
@@ -129,7 +132,7 @@
         let _permit = permit;
         let read = async {
             let (head, body) = (&mut pending).await?.into_parts();
-            Ok((head, read_body_or_empty(body).await))
+            Ok((head, read_body_or_empty(body, &memory).await))
         };
         let _ = sender.send(read.await);
     }));
--- a/crates/proxy/src/upstream/http/request.rs
+++ b/crates/proxy/src/upstream/http/request.rs
@@ -1,21 +1,20 @@
 //! Builds requests to workers, reads the bodies of the responses, and determines the outcomes of failed
 //! requests.
 use std::error::Error as _;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use copperspread_dispatcher::{Idempotency, KeyScope, Outcome};
-use http_body_util::combinators::Collect;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::uri::{Authority, PathAndQuery, Uri};
 use hyper::{Method, Request};
 use hyper_util::client::legacy::Error;
 
+use crate::body_collector::{BodyCollector, CollectedBody};
+use crate::memory::{MAX_BODY_BYTES, MemoryBudget, MemoryUse};
 use crate::upstream::http::guarded_body::{BodyWithheld, GuardedBody};
 
-/// The maximum length of the body of a worker's response, in bytes.
-const MAX_RESPONSE_BODY_BYTES: usize = 64 * 1024;
-
 /// Builds a request to a worker, without headers. Returns `None` if the address and path don't form a valid
 /// URI.
 pub(super) fn build_request(
@@ -28,9 +27,11 @@
     Request::builder().method(method).uri(uri).body(body).ok()
 }
 
-/// Reads the body of a worker's response. Fails if the body is longer than [`MAX_RESPONSE_BODY_BYTES`].
-pub(super) fn read_body(body: Incoming) -> Collect<Limited<Incoming>> {
-    Limited::new(body, MAX_RESPONSE_BODY_BYTES).collect()
+/// Reads a worker's response to its end without keeping it, so that the connection can be reused. Stops if
+/// the body is longer than [`MAX_BODY_BYTES`].
+pub(super) async fn discard_body(body: Incoming) {
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    while let Some(Ok(_)) = body.frame().await {}
 }
 
 /// Returns the outcome of a request to a worker from which no response was received. `error` says why.
@@ -64,7 +65,9 @@
     )
 }
 
-/// Reads the body of a worker's response. Returns an empty body if the body cannot be read.
-pub(super) async fn read_body_or_empty(body: Incoming) -> Bytes {
-    read_body(body).await.map_or_else(|_| Bytes::new(), |body| body.to_bytes())
+/// Reads the body of a worker's response, which takes its memory from `memory`. Returns an empty body if the
+/// body cannot be read.
+pub(super) async fn read_body_or_empty(body: Incoming, memory: &Arc<MemoryBudget>) -> Bytes {
+    let collected = BodyCollector::new(memory, MemoryUse::WorkerConnection).collect(body).await;
+    collected.map_or_else(|_| Bytes::new(), CollectedBody::into_bytes)
 }
--- a/crates/proxy/tests/interfaces.rs
+++ b/crates/proxy/tests/interfaces.rs
@@ -211,7 +211,6 @@
             headers: Default::default(),
             idempotency: CLASSES[class as usize],
             body: Bytes::new(),
-            body_permit: None,
             client: Default::default(),
         };
         AdmissionRequest { request, deadline: from_now(request.time_left), upstream_request }
@@ -400,13 +399,12 @@
 
 #[test]
 fn all_connections_together_fit_within_the_descriptors() {
-    use copperspread_proxy::descriptors::max_used_worker_connections;
-    use copperspread_proxy::downstream::connection_limits::max_connections;
+    use copperspread_proxy::descriptors::{max_client_connections, max_used_worker_connections};
     // Covers a connection being accepted, discovery's parallel calls, files and the runtime's descriptors. Idle
     // connections to workers need no share: they are closed when another connection needs a descriptor.
     let other = 24;
     for descriptors in [256, 384, 512, 768, 1024] {
-        let connections = max_connections(descriptors, 192.0) + max_used_worker_connections(descriptors);
+        let connections = max_client_connections(descriptors) + max_used_worker_connections(descriptors);
         assert!(connections + other <= descriptors, "with {descriptors} descriptors");
     }
 }
--- a/crates/scheduler/tests/connection_limits.rs
+++ b/crates/scheduler/tests/connection_limits.rs
@@ -81,7 +81,6 @@
         headers,
         idempotency: Idempotency::Idempotent,
         body,
-        body_permit: None,
         client: Default::default(),
     };
     for (revision, phase) in [(2, "DRAINING"), (3, "DELETED")] {
--- a/crates/scheduler/tests/dispatch_races.rs
+++ b/crates/scheduler/tests/dispatch_races.rs
@@ -413,7 +413,6 @@
                 headers,
                 idempotency,
                 body,
-                body_permit: None,
                 client: Default::default(),
             };
             let (target, control) = (upstream.target(WorkerId(0)), DispatchControl::default());
