Give callbacks their own share of the memory, so that no result is turned away

Cause: callbacks and requests took the memory for bodies from one semaphore, and a request keeps its part until its last attempt has ended. Requests that waited for results held all of it, so the results that would have ended them could not be read.

Change: callbacks reserve from MemoryUse::Callback, whose guaranteed share no other use takes. A little more of the memory is guaranteed to connections, so that no fewer fit than before.

--- a/crates/proxy/src/downstream/http/mod.rs
+++ b/crates/proxy/src/downstream/http/mod.rs
@@ -120,7 +120,7 @@
     Extension(limits): Extension<RequestLimits>,
     request: Request,
 ) -> StatusCode {
-    let body = match read_body(request.into_body(), &limits, MemoryUse::RequestBody).await {
+    let body = match read_body(request.into_body(), &limits, MemoryUse::Callback).await {
         Ok(body) => body,
         Err(status) => return status,
     };
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -19,7 +19,7 @@
 const MESSAGES_DIVISOR: usize = 16;
 /// The part of the memory without a guarantee for any other use that is not guaranteed to connections, as a
 /// divisor.
-const UNGUARANTEED_DIVISOR: usize = 5;
+const UNGUARANTEED_DIVISOR: usize = 6;
 /// The number of client connections, and also of connections to workers, for which memory is guaranteed in any
 /// case.
 const MIN_CONNECTIONS: usize = 8;
--- a/crates/scheduler/tests/memory_limits.rs
+++ b/crates/scheduler/tests/memory_limits.rs
@@ -30,6 +30,12 @@
 const CLIENT_TIMEOUT_MILLIS: u64 = 5_000;
 /// How long after the client's time-out a response may come until the request counts as lost.
 const LOSS_MARGIN: Duration = Duration::from_millis(550);
+/// A work time that is longer than a body may wait for memory.
+const LONG_WORK_TIME: Duration = Duration::from_millis(2_500);
+/// The length of a long result, in bytes: nearly that of the longest body.
+const RESULT_BYTES: usize = 60_000;
+/// The least number of requests with long bodies that are served of a group.
+const MIN_SERVED: usize = 20;
 /// The time between two small requests.
 const SMALL_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -66,11 +72,26 @@
 
 /// Sends a request with a body in pieces of `piece_bytes`. Returns the status of its response, or `None`
 /// without a response in time.
+///
+/// As the platform's clients do, this sends the request once more if its connection is closed without a
+/// response. If the scheduler had taken the request before, the status is then 400.
 async fn send_body(
     scheduler: std::net::SocketAddr,
     id: u64,
     body_bytes: usize,
     piece_bytes: usize,
+) -> Option<u16> {
+    match try_send_body(scheduler, id, body_bytes, piece_bytes).await {
+        Some(status) => Some(status),
+        None => try_send_body(scheduler, id, body_bytes, piece_bytes).await,
+    }
+}
+
+async fn try_send_body(
+    scheduler: std::net::SocketAddr,
+    id: u64,
+    body_bytes: usize,
+    piece_bytes: usize,
 ) -> Option<u16> {
     let mut stream = TcpStream::connect(scheduler).await.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -105,7 +126,8 @@
             .collect();
         sent += requests.len();
         for request in requests {
-            lost += usize::from(request.await.expect("a client that does not panic").is_none());
+            let status = request.await.expect("a client that does not panic");
+            lost += usize::from(matches!(status, None | Some(400)));
         }
     }
     (sent, lost)
@@ -146,3 +168,30 @@
     assert!(most_memory <= MEMORY_LIMIT_BYTES, "{most_memory} bytes");
     assert_eq!((lost, others), (0, 0), "requests without a response, small requests without service");
 }
+
+// Guards against requests that wait for results and hold all memory that the callbacks with the results need.
+#[tokio::test]
+async fn results_are_taken_while_requests_with_long_bodies_hold_the_memory() {
+    let fleet = Fleet::start_with_results(WORKERS, LONG_WORK_TIME, RESULT_BYTES).await;
+    let scheduler = start_scheduler(&fleet).await;
+    let requests: Vec<_> = (0..CLIENTS as u64)
+        .map(|id| tokio::spawn(send_body(scheduler.address, id, MAX_BODY_BYTES, MAX_BODY_BYTES)))
+        .collect();
+    let mut most_memory = 0;
+    let statuses = async {
+        let mut statuses = Vec::new();
+        for request in requests {
+            statuses.push(request.await.expect("a client that does not panic"));
+        }
+        statuses
+    };
+    let statuses = tokio::select! {
+        statuses = statuses => statuses,
+        () = watch_memory(&scheduler, &mut most_memory) => unreachable!("the watch has no end"),
+    };
+    let served = statuses.iter().filter(|&&status| status == Some(200)).count();
+    println!("{served} of {CLIENTS} served, {most_memory} bytes");
+    assert_eq!(fleet.refused_callbacks(), 0, "each callback is taken");
+    assert!(served >= MIN_SERVED, "{served} requests");
+    assert!(most_memory <= MEMORY_LIMIT_BYTES, "{most_memory} bytes");
+}
--- a/crates/scheduler/tests/sockets/fleet.rs
+++ b/crates/scheduler/tests/sockets/fleet.rs
@@ -20,10 +20,14 @@
 /// What the workers of a fleet have in common.
 struct Shared {
     work_time: Duration,
+    /// The minimum length of a result, in bytes.
+    result_bytes: usize,
     /// The scheduler's address, to which callbacks are sent.
     scheduler: std::sync::OnceLock<SocketAddr>,
     accepted_connections: AtomicUsize,
     load_queries: AtomicUsize,
+    /// The callbacks that got another response than 200 or 204.
+    refused_callbacks: AtomicUsize,
 }
 
 /// A fleet of fake workers.
@@ -35,11 +39,18 @@
 impl Fleet {
     /// Starts a fleet whose workers take `work_time` for each request.
     pub(crate) async fn start(size: usize, work_time: Duration) -> Fleet {
+        Fleet::start_with_results(size, work_time, 0).await
+    }
+    /// Starts a fleet whose workers take `work_time` for each request and whose results have at least
+    /// `result_bytes` bytes.
+    pub(crate) async fn start_with_results(size: usize, work_time: Duration, result_bytes: usize) -> Fleet {
         let shared = Arc::new(Shared {
             work_time,
+            result_bytes,
             scheduler: std::sync::OnceLock::new(),
             accepted_connections: AtomicUsize::new(0),
             load_queries: AtomicUsize::new(0),
+            refused_callbacks: AtomicUsize::new(0),
         });
         let mut addresses = Vec::new();
         for index in 0..size {
@@ -67,6 +78,10 @@
     pub(crate) fn load_queries(&self) -> usize {
         self.shared.load_queries.load(Ordering::Relaxed)
     }
+    /// Returns how many callbacks got another response than 200 or 204.
+    pub(crate) fn refused_callbacks(&self) -> usize {
+        self.shared.refused_callbacks.load(Ordering::Relaxed)
+    }
 }
 
 struct Worker {
@@ -108,7 +123,8 @@
     async fn run(self: Arc<Self>, id: String) {
         tokio::time::sleep(self.shared.work_time).await;
         let name = &self.name;
-        let body = format!(r#"{{"id":"{id}","from":"{name}","state":"done","result":"result of {id}"}}"#);
+        let result = format!("{:r<1$}", format!("result of {id}"), self.shared.result_bytes);
+        let body = format!(r#"{{"id":"{id}","from":"{name}","state":"done","result":"{result}"}}"#);
         let length = body.len();
         let callback =
             format!("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: {length}\r\n\r\n{body}");
@@ -130,6 +146,9 @@
         };
         connection.write_all(callback.as_bytes()).await.ok()?;
         let response = read(&mut connection).await?;
+        if !matches!(response.status(), 200 | 204) {
+            self.shared.refused_callbacks.fetch_add(1, Ordering::Relaxed);
+        }
         if response.headers.get("connection").is_none_or(|value| value != "close") {
             self.callback_connections.lock().await.push(connection);
         }
