Let a list of more workers than are known be read, however little memory is left

Cause: a reservation larger than its use can ever have waited forever. With 32 MB, 1,024 descriptors and no cached list, a list of 3,200 workers asks for 5.3 MB and can have about 3.3, so it would never have been read.

Change: reserve() asks for no more than the use can have.

--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -108,6 +108,14 @@
         share.guaranteed.max(self.total.saturating_sub(claimed - share.claimed()))
     }
 
+    /// Returns the memory that a use can take in total when all others have nothing beyond their guaranteed
+    /// shares.
+    fn reachable_limit(&mut self, memory_use: MemoryUse) -> usize {
+        let share = *self.share(memory_use);
+        let guaranteed: usize = self.shares.iter().map(|share| share.guaranteed).sum();
+        share.guaranteed.max(self.total.saturating_sub(guaranteed - share.guaranteed))
+    }
+
     fn permits(&mut self, memory_use: MemoryUse, bytes: usize) -> bool {
         self.share(memory_use).used + bytes <= self.limit(memory_use)
     }
@@ -185,12 +193,16 @@
     }
 
     /// Waits until memory can be reserved. Memory for the same use is given out in the order of the calls.
+    ///
+    /// Where the use can never have as much as `bytes`, all that it can have is reserved. A list of more
+    /// workers than are known, for example, would otherwise wait forever.
     pub async fn reserve(self: &Arc<Self>, memory_use: MemoryUse, bytes: usize) -> MemoryReservation {
         // The semaphore is never closed, so there is always a permit.
         let _turn = self.turns[memory_use as usize].acquire().await;
         loop {
             let released = self.released.notified();
-            if let Some(reservation) = self.try_reserve(memory_use, bytes) {
+            let reachable_bytes = bytes.min(self.lock().reachable_limit(memory_use));
+            if let Some(reservation) = self.try_reserve(memory_use, reachable_bytes) {
                 return reservation;
             }
             released.await;
--- a/crates/proxy/tests/unit/memory.rs
+++ b/crates/proxy/tests/unit/memory.rs
@@ -82,6 +82,21 @@
     drop(reservation);
 }
 
+// Guards against a list of more workers than are known that waits forever for memory it can never have.
+#[tokio::test]
+async fn a_list_that_needs_more_than_there_is_gets_all_there_is() {
+    let budget = MemoryBudget::new(32.0);
+    budget.set_max_connections(752, 204);
+    let body = budget.try_reserve(MemoryUse::RequestBody, 2 * MEGABYTE).expect("memory is left");
+    let mut list = Box::pin(budget.reserve(MemoryUse::EndpointList, 100 * MEGABYTE));
+    assert!((&mut list).now_or_never().is_none(), "the body has a part of what the list can have");
+    drop(body);
+    let reservation = (&mut list).now_or_never().expect("memory for the list");
+    assert!(reservation.bytes >= MEGABYTE, "{} bytes", reservation.bytes);
+    let claimed: usize = budget.lock().shares.iter().map(|share| share.claimed()).sum();
+    assert!(claimed <= budget.lock().total);
+}
+
 #[test]
 fn a_reservation_is_released_with_the_last_clone_of_its_bytes() {
     let budget = MemoryBudget::new(32.0);
