Create the pipes of the event log's tests without starting a program

Cause: two other tests of the file start mkfifo. From fork to exec the child has copies of all open files, and so the lock of a log file that another test has just closed. Checked with a probe: a file locked by flock and closed by its process stays locked while a forked child lives.

No check is changed.

--- a/crates/event-log/tests/writer.rs
+++ b/crates/event-log/tests/writer.rs
@@ -48,6 +48,15 @@
 /// Longest wait for queued records to be written.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
+/// Creates a named pipe.
+///
+/// No program is started for this: until a child process has loaded its program, it holds copies of all open
+/// files of this process, and so the locks of the log files that other tests close and open again.
+fn make_pipe(path: &std::path::Path) {
+    let mode = rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR;
+    rustix::fs::mkfifoat(rustix::fs::CWD, path, mode).expect("a named pipe can be created");
+}
+
 fn finish(recorder: &Recorder, writer: WriterHandle) -> RecordCounts {
     recorder.close();
     assert!(writer.finish(MAX_WAIT), "not all queued records were written within the time limit");
@@ -94,7 +103,7 @@
 fn a_disk_that_hangs_drops_records_without_delay_and_leaves_a_gap() {
     let directory = TempDirectory::new("hangs");
     let config = directory.config(1 << 20, 64);
-    assert!(std::process::Command::new("mkfifo").arg(&config.path).status().expect("mkfifo runs").success());
+    make_pipe(&config.path);
     let (recorder, writer) = start_writer(config.clone()).expect("the writer starts on a pipe");
     let start = Instant::now();
     for count in 0..20_000 {
@@ -140,7 +149,7 @@
 fn a_disk_that_hangs_does_not_delay_the_shutdown() {
     let directory = TempDirectory::new("hangs-end");
     let config = directory.config(1 << 20, 4096);
-    assert!(std::process::Command::new("mkfifo").arg(&config.path).status().expect("mkfifo runs").success());
+    make_pipe(&config.path);
     let (recorder, writer) = start_writer(config).expect("the writer starts on a pipe");
     (0..4_000).for_each(|count| recorder.record(counter_event(count)));
     recorder.close();
