Show that a SIGHUP during the start ends a scheduler

Cause: the handler of SIGHUP is installed only after the configuration has been read, so that a SIGHUP before that has its default action.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -296,22 +296,31 @@
         self.process = None
 
     def write_config(self, discovery_address=None):
+        self.prepare_config(discovery_address)
+        self.put_config()
+
+    def prepare_config(self, discovery_address=None):
         self.config_path = os.path.join(self.folder, f"{self.name}.json")
         self.discovery_address = discovery_address or self.discovery.address
         config = {"name": self.name, "listen": self.address, "discovery": self.discovery_address,
                   "seed": secrets.token_hex(8), "limits": self.limits, "known": self.known, "settings": self.settings}
         with open(self.config_path + ".new", "w") as file:
             json.dump(config, file)
+
+    def put_config(self):
         os.replace(self.config_path + ".new", self.config_path)
 
-    async def start(self):
+    def environment(self):
+        """Writes the configuration, and returns the environment of the process."""
         if not os.path.exists(os.path.join(ROOT, "target/release/copperspread-scheduler")):
             raise CannotRun("the scheduler is not built")
         self.write_config()
-        temporary = tempfile.mkdtemp(dir=self.folder)
-        environment = {"PATH": os.environ.get("PATH", ""), "TMPDIR": temporary, "EDGE_NAME": self.name,
-                       "EDGE_LISTEN": self.address, "EDGE_DISCOVERY": self.discovery_address,
-                       "EDGE_CONFIG": self.config_path}
+        return {"PATH": os.environ.get("PATH", ""), "TMPDIR": tempfile.mkdtemp(dir=self.folder),
+                "EDGE_NAME": self.name, "EDGE_LISTEN": self.address, "EDGE_DISCOVERY": self.discovery_address,
+                "EDGE_CONFIG": self.config_path}
+
+    async def start(self):
+        environment = self.environment()
         log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run_line(), cwd=ROOT, env=environment, stdout=log, stderr=log)
