--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")"
 python3 -c 'import ast, sys
 for name in sys.argv[1:]:
-    ast.parse(open(name).read(), name)' standins_2.py [0-9]*/case.py
+    ast.parse(open(name).read(), name)' standins_2.py [6-8]/case.py
